--- /dev/null
+++ b/ctl/src/main/java/org/endivetray/ctl/Commands.java
@@ -0,0 +1,396 @@
+package org.endivetray.ctl;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.UnaryOperator;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.endivetray.AvailabilityBudget;
+import org.endivetray.EndivetrayException;
+import org.endivetray.FailureDomain;
+import org.endivetray.HostRecord;
+import org.endivetray.Intent;
+import org.endivetray.IntentKind;
+import org.endivetray.Json;
+import org.endivetray.Member;
+import org.endivetray.Plan;
+import org.endivetray.Pool;
+import org.endivetray.ResultCode;
+import org.endivetray.ServiceDeclaration;
+
+/**
+ * Runs one command against a daemon.
+ *
+ * <p>A command that changes something prints the plan and asks; nothing is changed before the
+ * operator confirms.
+ *
+ * <p>This class is not thread-safe.
+ */
+public final class Commands {
+    private static final String DEFAULT_SERVER = "127.0.0.1:8081";
+    private static final int MAX_SHOWN_STEPS = 40;
+
+    private final Command mCommand;
+    private final CommandLine mLine;
+    private final DaemonClient mClient;
+    private final PrintStream mOut;
+    private final Confirmation mConfirmation;
+
+    private Commands(
+            Command command,
+            CommandLine line,
+            DaemonClient client,
+            PrintStream out,
+            Confirmation confirmation) {
+        mCommand = command;
+        mLine = line;
+        mClient = client;
+        mOut = out;
+        mConfirmation = confirmation;
+    }
+
+    /** Asks the operator whether to go on. */
+    @FunctionalInterface
+    public interface Confirmation {
+        /** Returns whether the operator says yes to the question. */
+        boolean ask(String question);
+    }
+
+    /**
+     * Runs the command of the arguments.
+     *
+     * @param args the command and its options, not null
+     * @param out receives results, not null
+     * @param confirmation asks the operator, not null
+     * @throws EndivetrayException with the code of what failed
+     */
+    public static void run(String[] args, PrintStream out, Confirmation confirmation) {
+        if (args.length == 0 || args[0].equals("--help") || args[0].equals("-h")) {
+            printOverview(out);
+            return;
+        }
+        if (args[0].equals("--version")) {
+            out.println("endivetrayctl " + Main.VERSION);
+            return;
+        }
+        Command command = Command.ofArguments(args);
+        if (command == null) {
+            throw usage("unknown command: '" + String.join(" ", args) + "'");
+        }
+        Options options = options(command);
+        CommandLine line = parse(command, options, args);
+        if (line.hasOption("help")) {
+            printHelp(command, options);
+            return;
+        }
+        requireArgument(command, line);
+        DaemonClient client =
+                new DaemonClient(
+                        line.getOptionValue("server", DEFAULT_SERVER),
+                        line.getOptionValue("operator", System.getProperty("user.name")));
+        try {
+            new Commands(command, line, client, out, confirmation).run();
+        } finally {
+            client.stop();
+        }
+    }
+
+    private static Options options(Command command) {
+        Options options = new Options();
+        options.addOption(null, "server", true, "daemons as host:port, separated by commas");
+        options.addOption(null, "operator", true, "your name in plans");
+        options.addOption("o", "output", true, "table or json");
+        options.addOption("y", "yes", false, "confirm without asking");
+        options.addOption("h", "help", false, "print this help");
+        command.addOptions(options);
+        return options;
+    }
+
+    private static CommandLine parse(Command command, Options options, String[] args) {
+        String[] rest = Arrays.copyOfRange(args, command.wordCount(), args.length);
+        try {
+            CommandLine line = new DefaultParser().parse(options, rest);
+            String output = line.getOptionValue("output", "table");
+            if (!List.of("table", "json").contains(output)) {
+                throw usage("--output must be table or json: '" + output + "'");
+            }
+            return line;
+        } catch (ParseException e) {
+            throw usage(e.getMessage());
+        }
+    }
+
+    private static void requireArgument(Command command, CommandLine line) {
+        int expected = command.argument().isEmpty() ? 0 : 1;
+        if (line.getArgList().size() != expected) {
+            throw usage("usage: endivetrayctl " + command.usage());
+        }
+    }
+
+    private static void printOverview(PrintStream out) {
+        out.println("usage: endivetrayctl COMMAND [OPTIONS]");
+        for (Command command : Command.values()) {
+            out.printf("  %-28s %s%n", command.usage(), command.help());
+        }
+        out.println("Each command has --help.");
+    }
+
+    private static void printHelp(Command command, Options options) {
+        try {
+            HelpFormatter.builder()
+                    .setShowSince(false)
+                    .get()
+                    .printHelp(
+                            "endivetrayctl " + command.usage(), command.help(), options, "", false);
+        } catch (IOException e) {
+            throw new EndivetrayException(ResultCode.INTERNAL, "cannot print the help", e);
+        }
+    }
+
+    private static EndivetrayException usage(String message) {
+        return new EndivetrayException(ResultCode.USAGE, message);
+    }
+
+    private String argument() {
+        return mLine.getArgList().get(0);
+    }
+
+    private void run() {
+        switch (mCommand) {
+            case POOL_LIST -> show(mClient.read("/v1/pools"), poolColumns());
+            case POOL_SHOW -> showOne(mClient.read("/v1/pools/" + argument()));
+            case WORKER_LIST ->
+                    show(
+                            mClient.read("/v1/workers"),
+                            "/worker",
+                            "/rack",
+                            "/zone",
+                            "/listed",
+                            "/pool",
+                            "/state",
+                            "/plan");
+            case PLAN_LIST -> show(mClient.read("/v1/plans"), planColumns());
+            case PLAN_SHOW -> showPlan(mClient.read("/v1/plans/" + argument()));
+            case PLAN_CONFIRM -> confirm(argument());
+            case PLAN_CANCEL -> showPlan(act("cancel"));
+            case PLAN_PAUSE -> showPlan(act("pause"));
+            case PLAN_RESUME -> showPlan(act("resume"));
+            case STATUS -> showOne(mClient.read("/v1/status"));
+            default -> proposeAndConfirm(intent());
+        }
+    }
+
+    private JsonNode act(String verb) {
+        return mClient.post("/v1/plans/" + argument() + "/" + verb, null);
+    }
+
+    // ---- intents
+
+    private Intent intent() {
+        return switch (mCommand) {
+            case POOL_CREATE -> createPool();
+            case BUDGET_SET -> changePool(argument(), pool -> pool.withBudget(budget()));
+            case SERVICE_DECLARE -> changePool(required("pool"), this::declare);
+            case MEMBER_SET ->
+                    Intent.ofConfiguration(
+                            List.of(),
+                            List.of(new Member(argument(), number("weight", 1))),
+                            List.of(),
+                            Map.of());
+            case APPLY -> readIntent();
+            case DRAIN_RACK -> Intent.of(IntentKind.DRAIN_RACK, argument());
+            case DRAIN_WORKER -> Intent.of(IntentKind.DRAIN_WORKER, argument());
+            case DRAIN_ZONE -> Intent.of(IntentKind.DRAIN_ZONE, argument());
+            case RESTORE_RACK -> Intent.of(IntentKind.RESTORE_RACK, argument());
+            case LEND -> Intent.ofLoan(parse("N", argument()), required("from"), required("to"));
+            case WAVE_CREATE -> Intent.of(IntentKind.WAVE, argument());
+            default -> throw usage("not a change: " + mCommand.usage());
+        };
+    }
+
+    private Intent createPool() {
+        String workers = mLine.getOptionValue("workers", "");
+        List<HostRecord> joins =
+                Arrays.stream(workers.split(","))
+                        .filter(worker -> !worker.isBlank())
+                        .map(worker -> HostRecord.ofActive(worker.trim(), argument()))
+                        .toList();
+        Pool pool = new Pool(argument(), mLine.hasOption("spare"), budget(), List.of());
+        return Intent.ofConfiguration(List.of(pool), List.of(), joins, Map.of(argument(), 0L));
+    }
+
+    private Intent changePool(String name, UnaryOperator<Pool> change) {
+        JsonNode row = mClient.read("/v1/pools/" + name);
+        Pool pool = Json.mapper().convertValue(row.path("pool"), Pool.class);
+        return Intent.ofConfiguration(
+                List.of(change.apply(pool)),
+                List.of(),
+                List.of(),
+                Map.of(name, row.path("version").asLong()));
+    }
+
+    private Pool declare(Pool pool) {
+        return pool.plusService(
+                new ServiceDeclaration(
+                        argument(),
+                        mLine.hasOption("repeatable-post"),
+                        mLine.hasOption("urgent"),
+                        number("deadline-millis", ServiceDeclaration.DEFAULT_DEADLINE_MILLIS)));
+    }
+
+    private Intent readIntent() {
+        try {
+            return Json.mapper().readValue(Path.of(argument()).toFile(), Intent.class);
+        } catch (IOException e) {
+            throw new EndivetrayException(
+                    ResultCode.INVALID_INTENT,
+                    "cannot read '" + argument() + "': " + e.getMessage(),
+                    e);
+        }
+    }
+
+    private AvailabilityBudget budget() {
+        String survives = mLine.getOptionValue("survives", "none").toUpperCase(Locale.ROOT);
+        if (Arrays.stream(FailureDomain.values())
+                .noneMatch(domain -> domain.name().equals(survives))) {
+            throw usage("--survives must be none, rack or zone: '" + survives + "'");
+        }
+        return new AvailabilityBudget(
+                number("floor", 0),
+                number("max-out", AvailabilityBudget.MAX_WORKERS),
+                FailureDomain.valueOf(survives));
+    }
+
+    private String required(String option) {
+        String value = mLine.getOptionValue(option);
+        if (value == null) {
+            throw usage("missing option --" + option);
+        }
+        return value;
+    }
+
+    private int number(String option, int fallback) {
+        String value = mLine.getOptionValue(option);
+        return value == null ? fallback : parse("--" + option, value);
+    }
+
+    private static int parse(String what, String text) {
+        try {
+            return Integer.parseInt(text);
+        } catch (NumberFormatException e) {
+            throw usage(what + " must be a whole number: '" + text + "'");
+        }
+    }
+
+    // ---- plans
+
+    private void proposeAndConfirm(Intent intent) {
+        JsonNode plan = mClient.post("/v1/plans", intent);
+        showPlan(plan);
+        ask(plan.path("id").asText());
+    }
+
+    private void confirm(String id) {
+        showPlan(mClient.read("/v1/plans/" + id));
+        ask(id);
+    }
+
+    private void ask(String id) {
+        if (!mLine.hasOption("yes") && !mConfirmation.ask("Confirm plan " + id + "?")) {
+            throw new EndivetrayException(ResultCode.DECLINED, "plan " + id + " stays proposed");
+        }
+        JsonNode confirmed = mClient.post("/v1/plans/" + id + "/confirm", null);
+        mOut.println("plan " + id + " is " + confirmed.path("state").asText());
+    }
+
+    // ---- output
+
+    private boolean isJson() {
+        return mLine.getOptionValue("output", "table").equals("json");
+    }
+
+    private void show(JsonNode rows, String... columns) {
+        if (isJson()) {
+            mOut.println(rows.toPrettyString());
+        } else {
+            Tables.print(mOut, rows, columns);
+        }
+    }
+
+    private void showOne(JsonNode row) {
+        if (isJson()) {
+            mOut.println(row.toPrettyString());
+            return;
+        }
+        row.properties()
+                .forEach(entry -> mOut.printf("%-16s %s%n", entry.getKey(), entry.getValue()));
+    }
+
+    private void showPlan(JsonNode json) {
+        if (isJson()) {
+            mOut.println(json.toPrettyString());
+            return;
+        }
+        Plan plan = Json.mapper().convertValue(json, Plan.class);
+        mOut.println("plan      " + plan.id() + "  " + plan.state());
+        mOut.println("intent    " + plan.intent().summary());
+        mOut.println("operator  " + plan.operator());
+        mOut.println("moves     " + plan.estimate().moves());
+        mOut.println("roll-out  " + plan.estimate().rolloutSeconds() + " s expected");
+        plan.estimate()
+                .lowestAvailable()
+                .forEach((pool, lowest) -> mOut.println("lowest    " + pool + " " + lowest));
+        for (Pool pool : plan.intent().pools()) {
+            mOut.println("sets      " + pool);
+        }
+        if (!plan.note().isEmpty()) {
+            mOut.println("note      " + plan.note());
+        }
+        plan.steps().stream()
+                .limit(MAX_SHOWN_STEPS)
+                .forEach(
+                        step ->
+                                mOut.println(
+                                        "step      "
+                                                + step.kind()
+                                                + " "
+                                                + step.worker()
+                                                + " "
+                                                + step.fromPool()
+                                                + (step.toPool().isEmpty()
+                                                        ? ""
+                                                        : " -> " + step.toPool())
+                                                + " "
+                                                + step.state()));
+        if (plan.steps().size() > MAX_SHOWN_STEPS) {
+            mOut.println("and " + (plan.steps().size() - MAX_SHOWN_STEPS) + " more steps");
+        }
+    }
+
+    private static String[] poolColumns() {
+        return new String[] {
+            "/pool/name",
+            "/workers",
+            "/available",
+            "/pool/budget/floorWorkers",
+            "/pool/budget/maxPlannedOutages",
+            "/pool/budget/survives",
+            "/pool/spare"
+        };
+    }
+
+    private static String[] planColumns() {
+        return new String[] {
+            "/id", "/state", "/operator", "/intent/kind", "/intent/target", "/note"
+        };
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/endivetray/ctl/DaemonClient.java
@@ -0,0 +1,145 @@
+package org.endivetray.ctl;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.endivetray.EndivetrayException;
+import org.endivetray.Json;
+import org.endivetray.ResultCode;
+
+/**
+ * Calls the operators' interface of a daemon, the first that answers of those given.
+ *
+ * <p>Invariants: a failed call ends with the daemon's numbered code, or with {@link
+ * ResultCode#DAEMON_UNREACHABLE}.
+ *
+ * <p>This class is thread-safe; its methods block.
+ */
+final class DaemonClient {
+    private static final int CONNECT_MILLIS = 2_000;
+    private static final int CALL_MILLIS = 15_000;
+
+    private final Vertx mVertx =
+            Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
+    private final HttpClient mClient =
+            mVertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_MILLIS));
+    private final String[] mServers;
+    private final String mOperator;
+
+    /**
+     * Constructs a client.
+     *
+     * @param servers {@code host:port} of one or more daemons, separated by commas, not null
+     * @param operator the operator's name, not null
+     */
+    DaemonClient(String servers, String operator) {
+        mServers = servers.split(",");
+        mOperator = operator;
+    }
+
+    JsonNode read(String uri) {
+        return call(HttpMethod.GET, uri, null);
+    }
+
+    JsonNode post(String uri, Object body) {
+        byte[] bytes =
+                body == null ? new byte[0] : Json.mapper().valueToTree(body).toString().getBytes();
+        return call(HttpMethod.POST, uri, bytes);
+    }
+
+    void stop() {
+        mVertx.close();
+    }
+
+    private JsonNode call(HttpMethod method, String uri, byte[] body) {
+        EndivetrayException last = null;
+        for (String server : mServers) {
+            try {
+                return call(server.trim(), method, uri, body);
+            } catch (EndivetrayException e) {
+                if (e.code() != ResultCode.DAEMON_UNREACHABLE) {
+                    throw e;
+                }
+                last = e;
+            }
+        }
+        throw last;
+    }
+
+    private JsonNode call(String server, HttpMethod method, String uri, byte[] body) {
+        RequestOptions options = options(server, method, uri);
+        try {
+            return mClient.request(options)
+                    .compose(
+                            request -> {
+                                request.putHeader("X-Endivetray-Operator", mOperator);
+                                return body == null
+                                        ? request.send()
+                                        : request.send(Buffer.buffer(body));
+                            })
+                    .compose(DaemonClient::toJson)
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .get(CALL_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof EndivetrayException known) {
+                throw known;
+            }
+            throw unreachable(server, String.valueOf(e.getCause().getMessage()));
+        } catch (TimeoutException e) {
+            throw unreachable(server, "no answer in time");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw unreachable(server, "interrupted");
+        }
+    }
+
+    private static RequestOptions options(String server, HttpMethod method, String uri) {
+        int colon = server.lastIndexOf(':');
+        try {
+            return new RequestOptions()
+                    .setMethod(method)
+                    .setHost(server.substring(0, Math.max(0, colon)))
+                    .setPort(Integer.parseInt(server.substring(colon + 1)))
+                    .setURI(uri);
+        } catch (NumberFormatException e) {
+            throw new EndivetrayException(
+                    ResultCode.USAGE, "--server must be host:port: '" + server + "'", e);
+        }
+    }
+
+    private static Future<JsonNode> toJson(HttpClientResponse response) {
+        return response.body().map(body -> check(response.statusCode(), body.getBytes()));
+    }
+
+    private static JsonNode check(int status, byte[] bytes) {
+        JsonNode json;
+        try {
+            json = Json.mapper().readTree(bytes);
+        } catch (IOException e) {
+            throw new EndivetrayException(
+                    ResultCode.INTERNAL, "the daemon's answer cannot be read", e);
+        }
+        if (status >= 400) {
+            ResultCode code =
+                    ResultCode.ofNumber(json.path("code").asInt()).orElse(ResultCode.INTERNAL);
+            throw new EndivetrayException(code, json.path("message").asText());
+        }
+        return json;
+    }
+
+    private static EndivetrayException unreachable(String server, String reason) {
+        return new EndivetrayException(ResultCode.DAEMON_UNREACHABLE, server + ": " + reason);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/Main.java
@@ -0,0 +1,162 @@
+package org.endivetray.daemon;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.endivetray.EndivetrayException;
+import org.endivetray.ResultCode;
+import org.endivetray.daemon.observe.Logs;
+import org.endivetray.daemon.settings.SettingKey;
+import org.endivetray.daemon.settings.Settings;
+
+/**
+ * Starts one daemon from its settings file and stops it on SIGTERM.
+ *
+ * <p>This class has no state and is thread-safe.
+ */
+public final class Main {
+    /** Version of this build. */
+    public static final String VERSION = "0.1.0";
+
+    private static final long START_SECONDS = 30;
+    private static final long STOP_SECONDS = 90;
+
+    private Main() {}
+
+    /**
+     * Runs the daemon.
+     *
+     * @param args see {@code --help}, not null
+     */
+    public static void main(String[] args) {
+        System.setProperty("java.util.logging.manager", Logs.Manager.class.getName());
+        // Vert.x logs through the same back end as System.Logger.
+        System.setProperty(
+                "vertx.logger-delegate-factory-class-name",
+                "io.vertx.core.logging.JULLogDelegateFactory");
+        int exit = run(args);
+        if (exit != 0) {
+            System.exit(exit);
+        }
+    }
+
+    private static int run(String[] args) {
+        Options options = options();
+        try {
+            CommandLine line = new DefaultParser().parse(options, args);
+            if (line.hasOption("help")) {
+                printHelp(options);
+                return 0;
+            }
+            if (line.hasOption("version")) {
+                System.out.println("endivetrayd " + VERSION);
+                return 0;
+            }
+            if (!line.hasOption("settings")) {
+                throw new ParseException("missing option --settings");
+            }
+            Settings settings = Settings.ofFile(Path.of(line.getOptionValue("settings")));
+            if (line.hasOption("check-settings")) {
+                System.out.println("settings are valid");
+                return 0;
+            }
+            start(settings, line.getOptionValue("ports-file"));
+            return 0;
+        } catch (ParseException e) {
+            return fail(ResultCode.USAGE, e.getMessage());
+        } catch (EndivetrayException e) {
+            return fail(e.code(), e.getMessage());
+        }
+    }
+
+    private static Options options() {
+        Options options = new Options();
+        options.addOption("s", "settings", true, "settings file, JSON with comments");
+        options.addOption(null, "check-settings", false, "check the settings and exit");
+        options.addOption(null, "ports-file", true, "file to write the ports to");
+        options.addOption("v", "version", false, "print the version and exit");
+        options.addOption("h", "help", false, "print this help and exit");
+        return options;
+    }
+
+    private static void printHelp(Options options) {
+        try {
+            HelpFormatter.builder()
+                    .setShowSince(false)
+                    .get()
+                    .printHelp("endivetrayd --settings FILE", "", options, "", false);
+        } catch (IOException e) {
+            throw new EndivetrayException(ResultCode.INTERNAL, "cannot print the help", e);
+        }
+    }
+
+    private static int fail(ResultCode code, String message) {
+        System.err.println("endivetrayd: error " + code.number() + " " + code.name());
+        message.lines().forEach(text -> System.err.println("  " + text));
+        System.err.println("  " + code.action());
+        return code.exitCode();
+    }
+
+    private static void start(Settings settings, String portsFile) {
+        Logs.start(settings.text(SettingKey.LOG_LEVEL));
+        Logger logger = System.getLogger(Main.class.getName());
+        Daemon daemon = new Daemon(settings);
+        Daemon.Ports ports = await(daemon);
+        logger.log(Level.INFO, () -> "daemon: listens " + ports);
+        if (portsFile != null) {
+            writePorts(Path.of(portsFile), ports);
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "stop"));
+    }
+
+    private static void writePorts(Path file, Daemon.Ports ports) {
+        String text = ports.callers() + " " + ports.operators() + " " + ports.inner() + "\n";
+        try {
+            Path whole = file.resolveSibling(file.getFileName() + ".part");
+            Files.writeString(whole, text);
+            Files.move(whole, file);
+        } catch (IOException e) {
+            throw new EndivetrayException(
+                    ResultCode.SETTINGS_UNREADABLE, "cannot write '" + file + "'", e);
+        }
+    }
+
+    private static Daemon.Ports await(Daemon daemon) {
+        try {
+            return daemon.start()
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .get(START_SECONDS, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new EndivetrayException(
+                    ResultCode.ADDRESS_IN_USE, String.valueOf(e.getCause()), e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new EndivetrayException(ResultCode.INTERNAL, "interrupted", e);
+        }
+    }
+
+    private static void stop(Daemon daemon) {
+        try {
+            daemon.stop()
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .get(STOP_SECONDS, TimeUnit.SECONDS);
+            daemon.closeLoops();
+        } catch (ExecutionException | TimeoutException e) {
+            System.err.println("endivetrayd: stop was not clean: " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/http/OperatorServer.java
@@ -0,0 +1,275 @@
+package org.endivetray.daemon.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.endivetray.EndivetrayException;
+import org.endivetray.HostRecord;
+import org.endivetray.Intent;
+import org.endivetray.Json;
+import org.endivetray.ListedHost;
+import org.endivetray.Plan;
+import org.endivetray.Pool;
+import org.endivetray.ResultCode;
+import org.endivetray.daemon.fleet.FleetService;
+import org.endivetray.daemon.member.Membership;
+import org.endivetray.daemon.observe.Metrics;
+import org.endivetray.daemon.settings.SettingKey;
+import org.endivetray.daemon.settings.Settings;
+import org.endivetray.daemon.state.Keys;
+import org.endivetray.daemon.state.Snapshot;
+import org.endivetray.daemon.state.StateSync;
+import org.endivetray.daemon.state.StateView;
+
+/**
+ * Serves operators' commands, health checks and metrics over HTTP.
+ *
+ * <p>Invariants: every failure has a JSON body with its numbered code.
+ *
+ * <p>This class is thread-safe.
+ */
+public final class OperatorServer {
+    private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+    private static final String OPERATOR_HEADER = "X-Endivetray-Operator";
+
+    private final HttpServer mServer;
+    private final Settings mSettings;
+    private final StateView mView;
+    private final StateSync mSync;
+    private final FleetService mFleet;
+    private final Membership mMembership;
+    private final Metrics mMetrics;
+    private final BooleanSupplier mReady;
+    private final Router mRouter;
+
+    /**
+     * Constructs a server that has not been started.
+     *
+     * @param vertx the event loops, not null
+     * @param settings the checked settings, not null
+     * @param view the stored state, not null
+     * @param sync says whether the store answers, not null
+     * @param fleet carries out commands, not null
+     * @param membership knows the daemons, not null
+     * @param metrics the metrics to show, not null
+     * @param ready whether this daemon may take requests, not null
+     */
+    public OperatorServer(
+            Vertx vertx,
+            Settings settings,
+            StateView view,
+            StateSync sync,
+            FleetService fleet,
+            Membership membership,
+            Metrics metrics,
+            BooleanSupplier ready) {
+        mServer = vertx.createHttpServer();
+        mSettings = settings;
+        mView = view;
+        mSync = sync;
+        mFleet = fleet;
+        mMembership = membership;
+        mMetrics = metrics;
+        mReady = ready;
+        mRouter = Router.router(vertx);
+        addRoutes();
+    }
+
+    /** Starts to listen and returns the port. */
+    public Future<Integer> start() {
+        return mServer.requestHandler(mRouter)
+                .listen(
+                        mSettings.number(SettingKey.OPERATORS_PORT),
+                        mSettings.text(SettingKey.OPERATORS_HOST))
+                .map(HttpServer::actualPort);
+    }
+
+    /** Closes all connections. */
+    public Future<Void> stop() {
+        return mServer.close();
+    }
+
+    private void addRoutes() {
+        mRouter.get("/healthz").handler(context -> context.response().end("ok\n"));
+        mRouter.get("/readyz").handler(this::readyz);
+        mRouter.get("/metrics").handler(this::metrics);
+        mRouter.route().handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES));
+        mRouter.get("/v1/pools").handler(context -> answer(context, this::pools));
+        mRouter.get("/v1/pools/:name")
+                .handler(context -> answer(context, () -> pool(context.pathParam("name"))));
+        mRouter.get("/v1/workers").handler(context -> answer(context, this::workers));
+        mRouter.get("/v1/status").handler(context -> answer(context, this::status));
+        mRouter.get("/v1/plans").handler(context -> answer(context, () -> toJson(mFleet.plans())));
+        mRouter.get("/v1/plans/:id")
+                .handler(context -> answer(context, () -> plan(context.pathParam("id"))));
+        mRouter.post("/v1/plans").handler(this::propose);
+        mRouter.post("/v1/plans/:id/confirm")
+                .handler(context -> answer(context, mFleet.confirm(context.pathParam("id"))));
+        mRouter.post("/v1/plans/:id/cancel")
+                .handler(context -> answer(context, mFleet.cancel(context.pathParam("id"))));
+        mRouter.post("/v1/plans/:id/resume")
+                .handler(context -> answer(context, mFleet.resume(context.pathParam("id"))));
+        mRouter.post("/v1/plans/:id/pause")
+                .handler(context -> answer(context, mFleet.pause(context.pathParam("id"))));
+    }
+
+    private void readyz(RoutingContext context) {
+        boolean ready = mReady.getAsBoolean();
+        context.response().setStatusCode(ready ? 200 : 503).end(ready ? "ready\n" : "not ready\n");
+    }
+
+    private void metrics(RoutingContext context) {
+        context.response()
+                .putHeader("content-type", "text/plain; version=0.0.4")
+                .end(mMetrics.text());
+    }
+
+    private void propose(RoutingContext context) {
+        Intent intent;
+        try {
+            intent = Json.mapper().readValue(context.body().buffer().getBytes(), Intent.class);
+        } catch (IOException | NullPointerException e) {
+            fail(
+                    context,
+                    new EndivetrayException(
+                            ResultCode.INVALID_INTENT, "cannot be read: " + e.getMessage()));
+            return;
+        }
+        String operator = context.request().getHeader(OPERATOR_HEADER);
+        answer(context, mFleet.propose(operator == null ? "unnamed" : operator, intent));
+    }
+
+    // ---- views
+
+    private JsonNode pools() {
+        Snapshot snapshot = mView.snapshot();
+        ArrayNode rows = Json.mapper().createArrayNode();
+        snapshot.fleet().pools().forEach(pool -> rows.add(poolRow(snapshot, pool)));
+        return rows;
+    }
+
+    private JsonNode pool(String name) {
+        Snapshot snapshot = mView.snapshot();
+        return snapshot.fleet()
+                .pool(name)
+                .map(found -> poolRow(snapshot, found))
+                .orElseThrow(
+                        () ->
+                                new EndivetrayException(
+                                        ResultCode.UNKNOWN_POOL,
+                                        "pool '" + name + "' does not exist"));
+    }
+
+    private static ObjectNode poolRow(Snapshot snapshot, Pool pool) {
+        ObjectNode row = Json.mapper().createObjectNode();
+        row.set("pool", toJson(pool));
+        row.put("version", snapshot.version(Keys.POOL + pool.name()));
+        row.put("workers", snapshot.fleet().recordsOf(pool.name()).size());
+        row.put("available", snapshot.fleet().available(pool.name()).size());
+        row.set("outages", toJson(snapshot.fleet().ledger(pool.name()).outages()));
+        return row;
+    }
+
+    private JsonNode workers() {
+        Snapshot snapshot = mView.snapshot();
+        ArrayNode rows = Json.mapper().createArrayNode();
+        for (ListedHost host : snapshot.fleet().listedHosts()) {
+            ObjectNode row = rows.addObject();
+            HostRecord hostRecord = snapshot.fleet().record(host.worker()).orElse(null);
+            row.put("worker", host.worker());
+            row.put("rack", host.rack());
+            row.put("zone", host.zone());
+            row.put("listed", host.status().name());
+            row.put("pool", hostRecord == null ? "" : hostRecord.pool());
+            row.put("state", hostRecord == null ? "" : hostRecord.state().name());
+            row.put("plan", hostRecord == null ? "" : hostRecord.planId());
+        }
+        return rows;
+    }
+
+    private JsonNode plan(String id) {
+        return mFleet.plan(id)
+                .map(OperatorServer::toJson)
+                .orElseThrow(
+                        () ->
+                                new EndivetrayException(
+                                        ResultCode.UNKNOWN_PLAN,
+                                        "plan '" + id + "' does not exist"));
+    }
+
+    private JsonNode status() {
+        Snapshot snapshot = mView.snapshot();
+        ObjectNode status = Json.mapper().createObjectNode();
+        status.put("daemon", mMembership.self().name());
+        status.put("ready", mReady.getAsBoolean());
+        status.put("storeUp", mSync.isStoreUp());
+        status.put("revision", snapshot.revision());
+        status.set("inForce", toJson(mMembership.revisions()));
+        status.set("live", toJson(mMembership.live()));
+        status.set("present", toJson(mMembership.present()));
+        status.put("pools", snapshot.fleet().pools().size());
+        status.put("workers", snapshot.fleet().records().size());
+        status.put(
+                "plansRunning",
+                snapshot.plans().stream().filter(plan -> plan.state().isActive()).count());
+        status.set("damaged", toJson(snapshot.damaged()));
+        status.put("innerBytesSent", mMembership.sentBytes());
+        return status;
+    }
+
+    private static JsonNode toJson(Object value) {
+        return Json.mapper().valueToTree(value);
+    }
+
+    // ---- answers
+
+    private void answer(RoutingContext context, Supplier<JsonNode> view) {
+        try {
+            send(context, ResultCode.PLAN_ACCEPTED.httpStatus(), view.get());
+        } catch (RuntimeException e) {
+            fail(context, e);
+        }
+    }
+
+    private void answer(RoutingContext context, CompletableFuture<Plan> plan) {
+        Future.fromCompletionStage(plan, eventLoopOf(context))
+                .onSuccess(
+                        done -> send(context, ResultCode.PLAN_ACCEPTED.httpStatus(), toJson(done)))
+                .onFailure(cause -> fail(context, cause));
+    }
+
+    private static Context eventLoopOf(RoutingContext context) {
+        return context.vertx().getOrCreateContext();
+    }
+
+    private static void fail(RoutingContext context, Throwable cause) {
+        Throwable root = cause instanceof CompletionException ? cause.getCause() : cause;
+        ResultCode code =
+                root instanceof EndivetrayException known ? known.code() : ResultCode.INTERNAL;
+        ObjectNode body = Json.mapper().createObjectNode();
+        body.put("code", code.number());
+        body.put("name", code.name());
+        body.put("message", String.valueOf(root.getMessage()));
+        body.put("action", code.action());
+        send(context, code.httpStatus(), body);
+    }
+
+    private static void send(RoutingContext context, int status, JsonNode body) {
+        context.response()
+                .setStatusCode(status)
+                .putHeader("content-type", "application/json")
+                .end(body.toString());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/member/Membership.java
@@ -0,0 +1,570 @@
+package org.endivetray.daemon.member;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.endivetray.EndivetrayException;
+import org.endivetray.ResultCode;
+import org.endivetray.daemon.duty.Duty;
+import org.endivetray.daemon.observe.Metrics;
+import org.endivetray.daemon.settings.SettingKey;
+import org.endivetray.daemon.settings.Settings;
+import org.endivetray.daemon.state.Registration;
+import org.endivetray.daemon.state.Snapshot;
+import org.endivetray.daemon.state.StateView;
+import org.endivetray.platform.Versioned;
+import org.endivetray.policy.Rendezvous;
+import org.endivetray.wire.InnerCodec;
+import org.endivetray.wire.InnerHandler;
+import org.endivetray.wire.InnerPeer;
+import org.endivetray.wire.InnerServer;
+import org.endivetray.wire.gen.Body;
+import org.endivetray.wire.gen.ConfigPull;
+import org.endivetray.wire.gen.ConfigPush;
+import org.endivetray.wire.gen.ConfigRecord;
+import org.endivetray.wire.gen.Envelope;
+import org.endivetray.wire.gen.Heartbeat;
+import org.endivetray.wire.gen.Relay;
+
+/**
+ * Knows the other daemons, hears whether they live, and carries messages between them.
+ *
+ * <p>A daemon is present from its registration until it has provably left. It is live while this
+ * daemon, or a peer that this daemon hears, receives its heartbeats. Ownership of work is spread
+ * over live daemons; it saves work only, and no safety rests on it.
+ *
+ * <p>A message to a peer that cannot be reached directly goes through a peer that hears it.
+ *
+ * <p>Invariants: {@link #live()} contains this daemon.
+ *
+ * <p>This class is thread-safe.
+ */
+public final class Membership {
+    private static final Logger LOGGER = System.getLogger(Membership.class.getName());
+    private static final int RING_ENTRIES = 4_096;
+    private static final long TICK_MILLIS = 50;
+    private static final int MISSED_HEARTBEATS = 3;
+    private static final long MESSAGE_TIMEOUT_MILLIS = 1_000;
+
+    private final Settings mSettings;
+    private final StateView mView;
+    private final Metrics mMetrics;
+    private final Vertx mVertx;
+    private final String mName;
+    private final long mIncarnation;
+    private final NetClient mClient;
+    private final InnerServer mServer;
+    private final Duty mDuty;
+    private final Map<String, PeerState> mPeers = new TreeMap<>();
+    private final List<InnerPeer> mSeeds = new ArrayList<>();
+    private final AtomicLong mSentBytes = new AtomicLong();
+    private final long mHeartbeatNanos;
+    private final long mSuspectNanos;
+    private final long mGoneNanos;
+    private volatile Set<String> mLive;
+    private volatile Map<String, StoppedWork> mStoppedByPeer = Map.of();
+    private volatile Map<String, Long> mRevisions = Map.of();
+    private volatile Set<String> mPresent;
+    private volatile Set<String> mDirect = Set.of();
+    private volatile Supplier<StoppedWork> mOwnStopped = () -> StoppedWork.NONE;
+    private volatile InnerHandler mApplication =
+            (sender, incarnation, body) -> Future.failedFuture("not ready");
+    private volatile boolean mStopping;
+    private volatile int mPort;
+    private long mLastBeatNanos;
+    private long mLastPullNanos;
+
+    /**
+     * Constructs a membership that has not been started.
+     *
+     * @param vertx the event loops, not null
+     * @param settings the checked settings, not null
+     * @param view the stored state, not null
+     * @param metrics counts messages, not null
+     * @param incarnation rises with each start of this daemon
+     */
+    public Membership(
+            Vertx vertx, Settings settings, StateView view, Metrics metrics, long incarnation) {
+        mVertx = vertx;
+        mSettings = settings;
+        mView = view;
+        mMetrics = metrics;
+        mName = settings.text(SettingKey.NAME);
+        mIncarnation = incarnation;
+        mClient =
+                vertx.createNetClient(
+                        new NetClientOptions().setTcpNoDelay(true).setConnectTimeout(500));
+        mServer = new InnerServer(vertx, mName, incarnation, this::onMessage);
+        mDuty = new Duty("membership", RING_ENTRIES, TICK_MILLIS, this::tick);
+        mHeartbeatNanos = TimeUnit.MILLISECONDS.toNanos(settings.number(SettingKey.HEARTBEAT));
+        mSuspectNanos = MISSED_HEARTBEATS * mHeartbeatNanos;
+        mGoneNanos =
+                TimeUnit.MILLISECONDS.toNanos(
+                        settings.number(SettingKey.LEASE)
+                                + settings.number(SettingKey.MAX_DEADLINE));
+        mLive = Set.of(mName);
+        mPresent = Set.of(mName);
+    }
+
+    /** Starts to listen and to send heartbeats. */
+    public Future<Integer> start() {
+        return mServer.start(
+                        mSettings.text(SettingKey.INNER_HOST),
+                        mSettings.number(SettingKey.INNER_PORT))
+                .onSuccess(
+                        port -> {
+                            mPort = port;
+                            addSeeds();
+                            mView.listen(snapshot -> mDuty.submit(() -> onSnapshot(snapshot)));
+                            mDuty.start();
+                        });
+    }
+
+    /** Stops heartbeats and closes connections. */
+    public Future<Void> stop() {
+        mDuty.stop();
+        return mServer.stop().compose(ignored -> mClient.close());
+    }
+
+    /** Says in heartbeats that this daemon is about to leave. */
+    public void markStopping() {
+        mStopping = true;
+    }
+
+    /** Sets who answers messages that are not about membership. */
+    public void handleWith(InnerHandler application) {
+        mApplication = application;
+    }
+
+    /** Sets who knows which workers get no new work from this daemon. */
+    public void reportStopped(Supplier<StoppedWork> stopped) {
+        mOwnStopped = stopped;
+    }
+
+    /** Returns this daemon's registration. */
+    public Registration self() {
+        return new Registration(
+                mName,
+                mIncarnation,
+                mSettings.text(SettingKey.ZONE),
+                mSettings.text(SettingKey.INNER_HOST),
+                mPort,
+                false);
+    }
+
+    /** Returns the names of the live daemons, this one included. */
+    public Set<String> live() {
+        return mLive;
+    }
+
+    /** Returns the names of the daemons that may still have requests in flight. */
+    public Set<String> present() {
+        return mPresent;
+    }
+
+    /** Returns the live daemon that owns the key. */
+    public String owner(String key) {
+        return Rendezvous.owner(key, mLive).orElse(mName);
+    }
+
+    /** Returns the configuration revision that each live daemon has in force. */
+    public Map<String, Long> revisions() {
+        Map<String, Long> revisions = new TreeMap<>(mRevisions);
+        revisions.keySet().retainAll(mLive);
+        revisions.put(mName, mView.snapshot().revision());
+        return revisions;
+    }
+
+    /** Returns the bytes sent to peers. */
+    public long sentBytes() {
+        return mSentBytes.get();
+    }
+
+    /**
+     * Returns the daemons that have not acknowledged that a worker is idle.
+     *
+     * @param worker the worker's name, not null
+     * @param epoch epoch of the host record that stopped the work
+     */
+    public List<String> notIdle(String worker, long epoch) {
+        List<String> missing = new ArrayList<>();
+        for (String daemon : mPresent) {
+            StoppedWork stopped =
+                    daemon.equals(mName)
+                            ? mOwnStopped.get()
+                            : mStoppedByPeer.getOrDefault(daemon, StoppedWork.NONE);
+            if (!stopped.isIdle(worker, epoch)) {
+                missing.add(daemon);
+            }
+        }
+        return missing;
+    }
+
+    /**
+     * Sends a message to a daemon, through a peer if need be.
+     *
+     * @param daemon the receiver's name, not null
+     * @param body the message, not null
+     * @return the reply
+     */
+    public Future<Body> send(String daemon, Body body) {
+        if (daemon.equals(mName)) {
+            return mApplication.handle(mName, mIncarnation, body);
+        }
+        mMetrics.onInnerMessage();
+        return Future.fromCompletionStage(mDuty.call(() -> route(daemon)))
+                .compose(
+                        route ->
+                                route.isDirect()
+                                        ? route.link().send(body, MESSAGE_TIMEOUT_MILLIS)
+                                        : route.link()
+                                                .send(
+                                                        relayed(daemon, body),
+                                                        MESSAGE_TIMEOUT_MILLIS));
+    }
+
+    /** Asks peers for the changes that this daemon has not seen. */
+    public Future<Void> pullFromPeers() {
+        return Future.fromCompletionStage(mDuty.call(this::links))
+                .compose(links -> Future.any(links.stream().map(this::pull).toList()))
+                .mapEmpty();
+    }
+
+    private List<InnerPeer> links() {
+        List<InnerPeer> links = new ArrayList<>(mSeeds);
+        mPeers.values().forEach(peer -> links.add(peer.link()));
+        return links;
+    }
+
+    private Body relayed(String daemon, Body body) {
+        Envelope envelope = new Envelope(0, false, mName, mIncarnation, body);
+        return Body.relay(new Relay(daemon, ByteBuffer.wrap(payload(envelope))));
+    }
+
+    private static byte[] payload(Envelope envelope) {
+        byte[] frame = InnerCodec.encode(envelope).getBytes();
+        byte[] payload = new byte[frame.length - InnerCodec.LENGTH_BYTES];
+        System.arraycopy(frame, InnerCodec.LENGTH_BYTES, payload, 0, payload.length);
+        return payload;
+    }
+
+    private Route route(String daemon) {
+        long now = System.nanoTime();
+        PeerState peer = mPeers.get(daemon);
+        if (peer != null && peer.isFresh(now, mSuspectNanos)) {
+            return new Route(peer.link(), true);
+        }
+        Optional<PeerState> relay =
+                mPeers.values().stream()
+                        .filter(other -> other.isHeard(now, mSuspectNanos))
+                        .filter(other -> other.heartbeat().getHears().contains(daemon))
+                        .findFirst();
+        if (relay.isPresent()) {
+            return new Route(relay.get().link(), false);
+        }
+        if (peer == null) {
+            throw new EndivetrayException(
+                    ResultCode.DAEMON_UNREACHABLE, "daemon '" + daemon + "' is not known");
+        }
+        return new Route(peer.link(), true);
+    }
+
+    private void addSeeds() {
+        for (String seed : mSettings.text(SettingKey.INNER_PEERS).split(",")) {
+            int colon = seed.lastIndexOf(':');
+            if (colon > 0) {
+                String host = seed.substring(0, colon).trim();
+                int port = Integer.parseInt(seed.substring(colon + 1).trim());
+                mSeeds.add(newLink(host, port));
+            }
+        }
+    }
+
+    private InnerPeer newLink(String host, int port) {
+        return new InnerPeer(mVertx, mClient, mName, mIncarnation, host, port, mSentBytes);
+    }
+
+    private void onSnapshot(Snapshot snapshot) {
+        Set<String> stored = new HashSet<>();
+        for (Registration registration : snapshot.daemons()) {
+            stored.add(registration.name());
+            if (registration.left()) {
+                dropPeer(registration);
+            } else {
+                learn(registration);
+            }
+        }
+        if (snapshot.revision() > 0) {
+            dropForgotten(stored);
+        }
+    }
+
+    private void dropPeer(Registration registration) {
+        PeerState known = mPeers.get(registration.name());
+        if (known != null && known.registration().incarnation() <= registration.incarnation()) {
+            mPeers.remove(registration.name());
+            known.link().stop();
+        }
+    }
+
+    /** Drops peers whose registration was deleted, unless they are heard. */
+    private void dropForgotten(Set<String> stored) {
+        long now = System.nanoTime();
+        mPeers.entrySet()
+                .removeIf(
+                        entry ->
+                                !stored.contains(entry.getKey())
+                                        && !entry.getValue().isFresh(now, mGoneNanos));
+    }
+
+    private void learn(Registration registration) {
+        if (registration.name().equals(mName)) {
+            return;
+        }
+        PeerState known = mPeers.get(registration.name());
+        if (known != null && known.registration().incarnation() >= registration.incarnation()) {
+            return;
+        }
+        if (known != null) {
+            known.link().stop();
+        }
+        InnerPeer link = newLink(registration.innerHost(), registration.innerPort());
+        mPeers.put(registration.name(), new PeerState(registration, link, System.nanoTime()));
+        LOGGER.log(
+                Level.INFO,
+                () ->
+                        "member: daemon joined daemon="
+                                + registration.name()
+                                + " incarnation="
+                                + registration.incarnation());
+        sendHeartbeat(registration.name(), link);
+    }
+
+    private void tick() {
+        long now = System.nanoTime();
+        if (now - mLastBeatNanos >= mHeartbeatNanos) {
+            mLastBeatNanos = now;
+            beat();
+        }
+        publish(now);
+        pullIfBehind(now);
+    }
+
+    /** Sends heartbeats to peers with a higher name; the others send theirs, both learn. */
+    private void beat() {
+        for (Map.Entry<String, PeerState> peer : mPeers.entrySet()) {
+            boolean unheard = !peer.getValue().isHeard(System.nanoTime(), mSuspectNanos);
+            if (unheard || peer.getKey().compareTo(mName) > 0) {
+                sendHeartbeat(peer.getKey(), peer.getValue().link());
+            }
+        }
+        if (mPeers.isEmpty()) {
+            mSeeds.forEach(seed -> sendHeartbeat("", seed));
+        }
+    }
+
+    private void sendHeartbeat(String daemon, InnerPeer link) {
+        Body body = Body.heartbeat(ownHeartbeat());
+        mMetrics.onInnerMessage();
+        link.send(body, MESSAGE_TIMEOUT_MILLIS)
+                .onSuccess(
+                        reply -> {
+                            if (reply.isSetHeartbeat() && !daemon.isEmpty()) {
+                                mDuty.submit(() -> onHeard(daemon, reply.getHeartbeat()));
+                            }
+                        });
+    }
+
+    private Heartbeat ownHeartbeat() {
+        StoppedWork stopped = mOwnStopped.get();
+        Heartbeat heartbeat = new Heartbeat();
+        heartbeat.setConfigRevision(mView.snapshot().revision());
+        heartbeat.setStopping(mStopping);
+        heartbeat.setStoppedWorkers(stopped.epochs());
+        heartbeat.setInFlightOfStopped(stopped.inFlight());
+        heartbeat.setHears(List.copyOf(mDirect));
+        heartbeat.setZone(mSettings.text(SettingKey.ZONE));
+        heartbeat.setHost(mSettings.text(SettingKey.INNER_HOST));
+        heartbeat.setPort(mPort);
+        return heartbeat;
+    }
+
+    private void onHeard(String daemon, Heartbeat heartbeat) {
+        PeerState peer = mPeers.get(daemon);
+        if (peer != null) {
+            peer.onHeartbeat(heartbeat, System.nanoTime());
+        }
+    }
+
+    private void publish(long now) {
+        Snapshot snapshot = mView.snapshot();
+        Set<String> directly = new TreeSet<>();
+        Set<String> live = new TreeSet<>();
+        Set<String> present = new TreeSet<>();
+        Map<String, StoppedWork> stopped = new TreeMap<>();
+        Map<String, Long> revisions = new TreeMap<>();
+        live.add(mName);
+        present.add(mName);
+        for (Map.Entry<String, PeerState> entry : mPeers.entrySet()) {
+            PeerState peer = entry.getValue();
+            boolean fresh = peer.isFresh(now, mSuspectNanos);
+            peer.markAbsent(!fresh && !snapshot.isAlive(peer.registration()), now);
+            if (!peer.isGone(now, mGoneNanos)) {
+                present.add(entry.getKey());
+            }
+            if (fresh) {
+                directly.add(entry.getKey());
+            }
+            if (peer.heartbeat() != null) {
+                Heartbeat last = peer.heartbeat();
+                stopped.put(
+                        entry.getKey(),
+                        new StoppedWork(last.getStoppedWorkers(), last.getInFlightOfStopped()));
+                revisions.put(entry.getKey(), last.getConfigRevision());
+            }
+        }
+        live.addAll(directly);
+        live.addAll(heardByPeers(now));
+        if (!live.equals(mLive)) {
+            LOGGER.log(Level.INFO, () -> "member: live daemons changed live=" + live);
+        }
+        mStoppedByPeer = stopped;
+        mRevisions = revisions;
+        mPresent = present;
+        mLive = Set.copyOf(live);
+        mDirect = Set.copyOf(directly);
+    }
+
+    /** Returns daemons that this one does not hear but a peer hears directly. */
+    private Set<String> heardByPeers(long now) {
+        Set<String> names = new TreeSet<>();
+        for (PeerState peer : mPeers.values()) {
+            if (peer.isHeard(now, mSuspectNanos)) {
+                names.addAll(peer.heartbeat().getHears());
+            }
+        }
+        names.retainAll(mPeers.keySet());
+        return names;
+    }
+
+    private void pullIfBehind(long now) {
+        long newest =
+                mPeers.values().stream()
+                        .filter(peer -> peer.isHeard(now, mSuspectNanos))
+                        .mapToLong(peer -> peer.heartbeat().getConfigRevision())
+                        .max()
+                        .orElse(0);
+        boolean behind = newest > mView.snapshot().revision();
+        boolean empty = mPeers.isEmpty() && mView.snapshot().revision() == 0;
+        if ((behind || empty) && now - mLastPullNanos > mHeartbeatNanos) {
+            mLastPullNanos = now;
+            links().forEach(this::pull);
+        }
+    }
+
+    private Future<Void> pull(InnerPeer link) {
+        Body body = Body.configPull(new ConfigPull(mView.snapshot().revision()));
+        mMetrics.onInnerMessage();
+        return link.send(body, MESSAGE_TIMEOUT_MILLIS)
+                .onSuccess(
+                        reply -> {
+                            if (reply.isSetConfigPush()) {
+                                onPush(reply.getConfigPush());
+                            }
+                        })
+                .mapEmpty();
+    }
+
+    private void onPush(ConfigPush push) {
+        List<Versioned> values = new ArrayList<>();
+        for (ConfigRecord pushed : push.getRecords()) {
+            values.add(
+                    new Versioned(
+                            pushed.getKey(),
+                            pushed.getRevision(),
+                            pushed.isDeleted() ? null : pushed.getValue()));
+        }
+        mView.onValues(values, push.getRevision());
+    }
+
+    private Future<Body> onMessage(String sender, long incarnation, Body body) {
+        if (body.isSetHeartbeat()) {
+            mDuty.submit(() -> onPeerHeartbeat(sender, incarnation, body.getHeartbeat()));
+            return Future.succeededFuture(Body.heartbeat(ownHeartbeat()));
+        }
+        if (body.isSetConfigPull()) {
+            return Future.succeededFuture(answerPull(body.getConfigPull()));
+        }
+        if (body.isSetRelay()) {
+            return onRelay(body.getRelay());
+        }
+        return mApplication.handle(sender, incarnation, body);
+    }
+
+    private Future<Body> onRelay(Relay relay) {
+        if (relay.getTarget().equals(mName)) {
+            Envelope inner = InnerCodec.decode(relay.getPayload());
+            return onMessage(inner.getSender(), inner.getIncarnation(), inner.getBody());
+        }
+        return Future.fromCompletionStage(mDuty.call(() -> mPeers.get(relay.getTarget())))
+                .compose(
+                        peer ->
+                                peer == null
+                                        ? Future.failedFuture("daemon is not known")
+                                        : peer.link()
+                                                .send(Body.relay(relay), MESSAGE_TIMEOUT_MILLIS));
+    }
+
+    private void onPeerHeartbeat(String sender, long incarnation, Heartbeat heartbeat) {
+        learn(
+                new Registration(
+                        sender,
+                        incarnation,
+                        heartbeat.getZone(),
+                        heartbeat.getHost(),
+                        heartbeat.getPort(),
+                        false));
+        PeerState peer = mPeers.get(sender);
+        if (peer != null && peer.registration().incarnation() == incarnation) {
+            peer.onHeartbeat(heartbeat, System.nanoTime());
+        }
+    }
+
+    private Body answerPull(ConfigPull pull) {
+        Snapshot snapshot = mView.snapshot();
+        List<ConfigRecord> records = new ArrayList<>();
+        for (Versioned value : snapshot.changedAfter(pull.getAfterRevision())) {
+            byte[] bytes = value.isPresent() ? value.value() : new byte[0];
+            records.add(
+                    new ConfigRecord(
+                            value.key(),
+                            value.version(),
+                            ByteBuffer.wrap(bytes),
+                            !value.isPresent()));
+        }
+        return Body.configPush(new ConfigPush(snapshot.revision(), records));
+    }
+
+    /**
+     * How a message reaches a daemon.
+     *
+     * @param link the connection to use, not null
+     * @param isDirect whether the connection ends at the daemon
+     */
+    private record Route(InnerPeer link, boolean isDirect) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/Logs.java
@@ -0,0 +1,76 @@
+package org.endivetray.daemon.observe;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.time.Instant;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/**
+ * Sets up one-line logs on standard error.
+ *
+ * <p>This class has no state and is thread-safe.
+ */
+public final class Logs {
+    private static final Logger ROOT = Logger.getLogger("");
+
+    private Logs() {}
+
+    /**
+     * Makes every logger write lines of the given level and above.
+     *
+     * @param level DEBUG, INFO, WARNING or ERROR, not null
+     */
+    public static void start(String level) {
+        for (Handler handler : ROOT.getHandlers()) {
+            ROOT.removeHandler(handler);
+        }
+        ConsoleHandler handler = new ConsoleHandler();
+        handler.setFormatter(new LineFormatter());
+        handler.setLevel(Level.ALL);
+        ROOT.addHandler(handler);
+        ROOT.setLevel(Level.WARNING);
+        Logger.getLogger("org.endivetray").setLevel(toJul(level));
+    }
+
+    private static Level toJul(String level) {
+        return switch (level) {
+            case "DEBUG" -> Level.FINE;
+            case "WARNING" -> Level.WARNING;
+            case "ERROR" -> Level.SEVERE;
+            default -> Level.INFO;
+        };
+    }
+
+    /**
+     * Keeps the handlers while the process stops, so that the stop itself is logged.
+     *
+     * <p>This class is thread-safe.
+     */
+    public static final class Manager extends LogManager {
+        @Override
+        public void reset() {}
+    }
+
+    /** Writes time, level and message on one line. */
+    private static final class LineFormatter extends Formatter {
+        @Override
+        public String format(LogRecord logRecord) {
+            StringBuilder line = new StringBuilder();
+            line.append(Instant.ofEpochMilli(logRecord.getMillis()));
+            line.append(' ').append(logRecord.getLevel().getName()).append(' ');
+            line.append(formatMessage(logRecord)).append('\n');
+            if (logRecord.getThrown() != null) {
+                StringWriter trace = new StringWriter();
+                logRecord.getThrown().printStackTrace(new PrintWriter(trace));
+                line.append(trace);
+            }
+            return line.toString();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/Metrics.java
@@ -0,0 +1,145 @@
+package org.endivetray.daemon.observe;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.endivetray.EndivetrayException;
+import org.endivetray.ResultCode;
+
+/**
+ * The metrics of one daemon.
+ *
+ * <p>Invariants: names carry their unit.
+ *
+ * <p>This class is thread-safe.
+ */
+public final class Metrics {
+    private static final double[] LATENCY_SECONDS = {
+        0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30
+    };
+
+    private final PrometheusRegistry mRegistry = new PrometheusRegistry();
+    private final Counter mRequests =
+            counter("endivetray_requests", "Requests by service and result.", "service", "code");
+    private final Counter mRetries =
+            counter("endivetray_retries", "Requests sent to a second minion.", "service");
+    private final Counter mInner = counter("endivetray_inner_messages", "Messages sent to peers.");
+    private final Counter mEjections =
+            counter("endivetray_ejections", "Minions left out of routing.", "service");
+    private final Histogram mLatency =
+            Histogram.builder()
+                    .name("endivetray_request_latency_seconds")
+                    .help("Time from receipt to result.")
+                    .labelNames("service")
+                    .classicOnly()
+                    .classicUpperBounds(LATENCY_SECONDS)
+                    .register(mRegistry);
+    private final Gauge mSlots =
+            gauge("endivetray_slots", "Slots that this daemon may use.", "service");
+    private final Gauge mInFlight =
+            gauge("endivetray_requests_in_flight", "Requests at minions.", "service");
+    private final Gauge mWaiting =
+            gauge("endivetray_requests_waiting", "Requests that wait for a slot.", "service");
+    private final Gauge mPoolAvailable =
+            gauge("endivetray_pool_available_workers", "Available workers.", "pool");
+    private final Gauge mPoolBuffer =
+            gauge("endivetray_pool_buffer_workers", "Workers above the floor.", "pool");
+    private final Gauge mStoreUp =
+            gauge("endivetray_store_up", "1 while the platform's store answers.");
+    private final Gauge mRevision =
+            gauge("endivetray_config_revision", "Configuration revision in force.");
+    private final Gauge mPlansRunning =
+            gauge("endivetray_plans_running", "Plans under way in the fleet.");
+    private final Counter mMoves =
+            counter("endivetray_host_moves", "Workers moved between pools by this daemon.");
+    private final Histogram mRollout =
+            Histogram.builder()
+                    .name("endivetray_plan_rollout_seconds")
+                    .help("Time from confirmation to the end of a plan.")
+                    .classicOnly()
+                    .classicUpperBounds(1, 5, 15, 60, 300, 1800, 7200, 43200)
+                    .register(mRegistry);
+
+    private Counter counter(String name, String help, String... labels) {
+        return Counter.builder().name(name).help(help).labelNames(labels).register(mRegistry);
+    }
+
+    private Gauge gauge(String name, String help, String... labels) {
+        return Gauge.builder().name(name).help(help).labelNames(labels).register(mRegistry);
+    }
+
+    /** Records the result of a request. */
+    public void onResult(String service, ResultCode code, long nanos) {
+        mRequests.labelValues(service, Integer.toString(code.number())).inc();
+        mLatency.labelValues(service).observe(nanos / 1e9);
+    }
+
+    /** Records a retry. */
+    public void onRetry(String service) {
+        mRetries.labelValues(service).inc();
+    }
+
+    /** Records a message sent to a peer. */
+    public void onInnerMessage() {
+        mInner.inc();
+    }
+
+    /** Records that a minion was left out of routing. */
+    public void onEjection(String service) {
+        mEjections.labelValues(service).inc();
+    }
+
+    /** Records the slots, requests in flight and waiting requests of a service. */
+    public void onSlots(String service, int slots, int inFlight, int waiting) {
+        mSlots.labelValues(service).set(slots);
+        mInFlight.labelValues(service).set(inFlight);
+        mWaiting.labelValues(service).set(waiting);
+    }
+
+    /** Records a pool's available workers and how many of them are above its floor. */
+    public void onPool(String pool, int available, int buffer) {
+        mPoolAvailable.labelValues(pool).set(available);
+        mPoolBuffer.labelValues(pool).set(buffer);
+    }
+
+    /** Records whether the store answers. */
+    public void onStore(boolean up) {
+        mStoreUp.set(up ? 1 : 0);
+    }
+
+    /** Records the configuration revision in force. */
+    public void onRevision(long revision) {
+        mRevision.set(revision);
+    }
+
+    /** Records the number of plans under way. */
+    public void onPlansRunning(int plans) {
+        mPlansRunning.set(plans);
+    }
+
+    /** Records workers moved between pools. */
+    public void onMoves(int moves) {
+        mMoves.inc(moves);
+    }
+
+    /** Records the time that a plan took. */
+    public void onRollout(double seconds) {
+        mRollout.observe(seconds);
+    }
+
+    /** Returns all metrics in Prometheus's text format. */
+    public String text() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(out, mRegistry.scrape());
+        } catch (IOException e) {
+            throw new EndivetrayException(ResultCode.INTERNAL, "cannot write metrics", e);
+        }
+        return out.toString(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/request/CallerServer.java
@@ -0,0 +1,397 @@
+package org.endivetray.daemon.request;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import org.endivetray.Member;
+import org.endivetray.ResultCode;
+import org.endivetray.ServiceDeclaration;
+import org.endivetray.daemon.settings.SettingKey;
+import org.endivetray.daemon.settings.Settings;
+import org.endivetray.daemon.state.Snapshot;
+import org.endivetray.daemon.state.StateView;
+import org.endivetray.platform.Store;
+
+/**
+ * Receives callers' requests over HTTP, checks them and hands them to the router.
+ *
+ * <p>A request is {@code METHOD /s/SERVICE/PATH} with the headers in docs/INTERFACES.md. A request
+ * that fails a check gets its numbered error and never holds a slot.
+ *
+ * <p>Invariants: a request that was received whole gets one response.
+ *
+ * <p>This class is thread-safe; its connections belong to the traffic event loop.
+ */
+public final class CallerServer {
+    private static final String PREFIX = "/s/";
+    private static final String MEMBER_HEADER = "X-Endivetray-Member";
+    private static final String DEADLINE_HEADER = "X-Endivetray-Deadline-Millis";
+    private static final String PRIORITY_HEADER = "X-Endivetray-Priority";
+    private static final String KEY_HEADER = "Idempotency-Key";
+    private static final int MAX_KEY_CHARS = 200;
+    private static final int MAX_HEADER_BYTES = 8 * 1024;
+    private static final Set<String> PASSED_ON =
+            Set.of("accept", "content-type", "idempotency-key");
+    private static final Set<HttpMethod> REPEATABLE =
+            Set.of(
+                    HttpMethod.GET,
+                    HttpMethod.HEAD,
+                    HttpMethod.OPTIONS,
+                    HttpMethod.PUT,
+                    HttpMethod.DELETE);
+
+    private final Vertx mVertx;
+    private final Context mContext;
+    private final Settings mSettings;
+    private final StateView mView;
+    private final RequestRouter mRouter;
+    private final Claims mClaims;
+    private final BooleanSupplier mReady;
+    private final HttpServer mServer;
+    private final AtomicInteger mOpen = new AtomicInteger();
+    private final AtomicLong mNextId = new AtomicLong();
+    private final String mIdPrefix;
+    private final Map<HttpConnection, AtomicInteger> mFirstRequests = new HashMap<>();
+    private volatile boolean mRefusing;
+    private volatile boolean mClosing;
+
+    /**
+     * Constructs a server that has not been started.
+     *
+     * @param vertx the event loops, not null
+     * @param context the traffic event loop, not null
+     * @param settings the checked settings, not null
+     * @param view the stored state, not null
+     * @param router takes requests, not null
+     * @param store keeps claims, not null
+     * @param ready whether this daemon may take requests, not null
+     * @param incarnation makes request ids unique over restarts
+     */
+    public CallerServer(
+            Vertx vertx,
+            Context context,
+            Settings settings,
+            StateView view,
+            RequestRouter router,
+            Store store,
+            BooleanSupplier ready,
+            long incarnation) {
+        mVertx = vertx;
+        mContext = context;
+        mSettings = settings;
+        mView = view;
+        mRouter = router;
+        mClaims = new Claims(vertx, store, settings.number(SettingKey.CLAIM_HOURS));
+        mReady = ready;
+        mIdPrefix = settings.text(SettingKey.NAME) + "-" + Long.toString(incarnation, 36) + "-";
+        mServer =
+                vertx.createHttpServer(
+                        new HttpServerOptions()
+                                .setTcpNoDelay(true)
+                                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                                .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
+                                .setIdleTimeout(2 * settings.number(SettingKey.MAX_DEADLINE)));
+    }
+
+    /** Starts to listen and returns the port. */
+    public Future<Integer> start() {
+        Promise<Integer> started = Promise.promise();
+        mContext.runOnContext(
+                ignored -> {
+                    mServer.requestHandler(this::receive);
+                    mServer.invalidRequestHandler(this::refuseInvalid);
+                    mServer.connectionHandler(this::limitFirstRequest);
+                    mServer.listen(
+                                    mSettings.number(SettingKey.CALLERS_PORT),
+                                    mSettings.text(SettingKey.CALLERS_HOST))
+                            .map(HttpServer::actualPort)
+                            .onComplete(started);
+                });
+        return started.future();
+    }
+
+    /** Closes connections after each response from now on. */
+    public void closeConnections() {
+        mClosing = true;
+    }
+
+    /** Refuses new requests from now on. */
+    public void refuseNew() {
+        mRefusing = true;
+    }
+
+    /** Returns the number of requests that have no response yet. */
+    public int open() {
+        return mOpen.get();
+    }
+
+    /** Closes all connections. */
+    public Future<Void> stop() {
+        return mServer.close();
+    }
+
+    /** Closes a connection on which no whole head of a request arrives in time. */
+    private void limitFirstRequest(HttpConnection connection) {
+        AtomicInteger seen = new AtomicInteger();
+        mFirstRequests.put(connection, seen);
+        long timer =
+                mVertx.setTimer(
+                        mSettings.number(SettingKey.HEADER_MILLIS),
+                        ignored -> {
+                            if (seen.get() == 0) {
+                                connection.close();
+                            }
+                        });
+        connection.closeHandler(
+                ignored -> {
+                    mVertx.cancelTimer(timer);
+                    mFirstRequests.remove(connection);
+                });
+    }
+
+    private void receive(HttpServerRequest http) {
+        AtomicInteger seen = mFirstRequests.get(http.connection());
+        if (seen != null) {
+            seen.incrementAndGet();
+        }
+        if (http.path() != null && http.path().equals("/readyz")) {
+            http.response().setStatusCode(mReady.getAsBoolean() ? 200 : 503).end();
+            return;
+        }
+        mOpen.incrementAndGet();
+        http.response().endHandler(ignored -> mOpen.decrementAndGet());
+        CallerExchange exchange = new CallerExchange(mContext, http, mClosing);
+        Result fault = checkHead(http);
+        if (fault != null) {
+            exchange.end(fault);
+            return;
+        }
+        readBody(http, exchange);
+    }
+
+    private void refuseInvalid(HttpServerRequest http) {
+        new CallerExchange(mContext, http, true)
+                .end(Result.failed(ResultCode.MALFORMED_REQUEST, "not HTTP"));
+    }
+
+    /** Returns what is wrong with the head, or null. */
+    private Result checkHead(HttpServerRequest http) {
+        if (mRefusing || !mReady.getAsBoolean() && !mClosing) {
+            return Result.failed(ResultCode.STOPPING, mRefusing ? "stopping" : "not ready");
+        }
+        String path = http.path();
+        if (path == null || !path.startsWith(PREFIX) || serviceOf(path).isEmpty()) {
+            return Result.failed(ResultCode.MALFORMED_REQUEST, "path must be /s/SERVICE/...");
+        }
+        if (mView.snapshot().service(serviceOf(path)).isEmpty()) {
+            return Result.failed(ResultCode.UNKNOWN_SERVICE, serviceOf(path));
+        }
+        String member = http.getHeader(MEMBER_HEADER);
+        if (member == null || mView.snapshot().member(member).isEmpty()) {
+            return Result.failed(ResultCode.UNKNOWN_MEMBER, String.valueOf(member));
+        }
+        String key = http.getHeader(KEY_HEADER);
+        if (key != null && (key.isEmpty() || key.length() > MAX_KEY_CHARS)) {
+            return Result.failed(
+                    ResultCode.MALFORMED_REQUEST, "idempotency key of " + key.length());
+        }
+        if (contentLength(http) > mSettings.number(SettingKey.BODY_BYTES)) {
+            return Result.failed(ResultCode.REQUEST_TOO_LARGE, "body");
+        }
+        return deadlineMillis(http, 1) < 0
+                ? Result.failed(ResultCode.MALFORMED_REQUEST, "deadline")
+                : null;
+    }
+
+    private static long contentLength(HttpServerRequest http) {
+        String length = http.getHeader("content-length");
+        try {
+            return length == null ? 0 : Long.parseLong(length);
+        } catch (NumberFormatException e) {
+            return Long.MAX_VALUE;
+        }
+    }
+
+    private static String serviceOf(String path) {
+        int end = path.indexOf('/', PREFIX.length());
+        return end < 0 ? path.substring(PREFIX.length()) : path.substring(PREFIX.length(), end);
+    }
+
+    /** Returns the deadline in milliseconds from now, or -1 if it is malformed. */
+    private long deadlineMillis(HttpServerRequest http, int defaultMillis) {
+        String text = http.getHeader(DEADLINE_HEADER);
+        if (text == null) {
+            return defaultMillis;
+        }
+        try {
+            long millis = Long.parseLong(text);
+            boolean inRange = millis > 0;
+            return inRange ? Math.min(millis, mSettings.number(SettingKey.MAX_DEADLINE)) : -1;
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    private void readBody(HttpServerRequest http, CallerExchange exchange) {
+        long received = System.nanoTime();
+        Buffer body = Buffer.buffer();
+        BodyState state = new BodyState();
+        long timer =
+                mVertx.setTimer(
+                        mSettings.number(SettingKey.HEADER_MILLIS),
+                        ignored -> state.fail(exchange, http, "body was not received in time"));
+        http.handler(
+                bytes -> {
+                    if (state.mEnded) {
+                        return;
+                    }
+                    body.appendBuffer(bytes);
+                    if (body.length() > mSettings.number(SettingKey.BODY_BYTES)) {
+                        state.mEnded = true;
+                        exchange.end(Result.failed(ResultCode.REQUEST_TOO_LARGE, "body"));
+                    }
+                });
+        http.exceptionHandler(cause -> state.fail(exchange, http, "body broke off"));
+        http.endHandler(
+                ignored -> {
+                    mVertx.cancelTimer(timer);
+                    if (!state.mEnded) {
+                        state.mEnded = true;
+                        route(http, exchange, body, received);
+                    }
+                });
+    }
+
+    /** Whether the body of a request has come to an end. */
+    private static final class BodyState {
+        private boolean mEnded;
+
+        void fail(CallerExchange exchange, HttpServerRequest http, String what) {
+            if (!mEnded) {
+                mEnded = true;
+                exchange.end(Result.failed(ResultCode.MALFORMED_REQUEST, what));
+            }
+        }
+    }
+
+    private void route(
+            HttpServerRequest http, CallerExchange exchange, Buffer body, long received) {
+        Snapshot snapshot = mView.snapshot();
+        String name = serviceOf(http.path());
+        ServiceDeclaration service = snapshot.service(name).orElse(null);
+        Member member = snapshot.member(http.getHeader(MEMBER_HEADER)).orElse(null);
+        if (service == null || member == null) {
+            exchange.end(Result.failed(ResultCode.UNKNOWN_SERVICE, name));
+            return;
+        }
+        boolean repeatable =
+                REPEATABLE.contains(http.method())
+                        || (http.method() == HttpMethod.POST && service.repeatablePost());
+        long deadline =
+                received
+                        + TimeUnit.MILLISECONDS.toNanos(
+                                deadlineMillis(http, service.deadlineMillis()));
+        String key = http.getHeader(KEY_HEADER);
+        RoutedRequest.Call call =
+                new RoutedRequest.Call(http.method(), minionUri(http, name), headers(http), body);
+        if (repeatable || key == null) {
+            RoutedRequest request =
+                    newRequest(
+                            http, service, call, member, repeatable, received, deadline, exchange);
+            submit(http, request);
+            return;
+        }
+        mClaims.claim(Claims.keyOf(name, member.name(), key), deadline)
+                .onSuccess(
+                        claim ->
+                                routeClaimed(
+                                        http, service, call, member, received, deadline, exchange,
+                                        claim));
+    }
+
+    private void routeClaimed(
+            HttpServerRequest http,
+            ServiceDeclaration service,
+            RoutedRequest.Call call,
+            Member member,
+            long received,
+            long deadline,
+            CallerExchange exchange,
+            Claims.Claim claim) {
+        if (!claim.isHeld()) {
+            exchange.end(claim.result());
+            return;
+        }
+        ResultSink sink = new ClaimedSink(mClaims, claim, exchange);
+        submit(http, newRequest(http, service, call, member, false, received, deadline, sink));
+    }
+
+    private RoutedRequest newRequest(
+            HttpServerRequest http,
+            ServiceDeclaration service,
+            RoutedRequest.Call call,
+            Member member,
+            boolean repeatable,
+            long received,
+            long deadline,
+            ResultSink sink) {
+        String priority = http.getHeader(PRIORITY_HEADER);
+        boolean urgent = priority == null ? service.urgent() : priority.equals("urgent");
+        return new RoutedRequest(
+                mIdPrefix + Long.toString(mNextId.incrementAndGet(), 36),
+                service.name(),
+                call,
+                member,
+                urgent,
+                repeatable,
+                received,
+                deadline,
+                sink);
+    }
+
+    private void submit(HttpServerRequest http, RoutedRequest request) {
+        if (!mRouter.submit(request)) {
+            request.sink().end(Result.failed(ResultCode.RING_FULL, "router"));
+            return;
+        }
+        http.response()
+                .closeHandler(
+                        ignored -> {
+                            if (!http.response().ended()) {
+                                mOpen.decrementAndGet();
+                            }
+                            mRouter.cancel(request);
+                        });
+    }
+
+    private static String minionUri(HttpServerRequest http, String service) {
+        String rest = http.uri().substring(PREFIX.length() + service.length());
+        return rest.startsWith("/") ? rest : "/" + rest;
+    }
+
+    private static Map<String, String> headers(HttpServerRequest http) {
+        Map<String, String> headers = new HashMap<>();
+        for (String name : PASSED_ON) {
+            String value = http.getHeader(name);
+            if (value != null) {
+                headers.put(name, value);
+            }
+        }
+        headers.put(MEMBER_HEADER, http.getHeader(MEMBER_HEADER));
+        return headers;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/request/MinionState.java
@@ -0,0 +1,76 @@
+package org.endivetray.daemon.request;
+
+import org.endivetray.MinionEndpoint;
+import org.endivetray.policy.MinionHealth;
+import org.endivetray.policy.MinionSlots;
+
+/**
+ * One minion as the router sees it.
+ *
+ * <p>Invariants: requests in flight are at most the limit when a request is sent.
+ *
+ * <p>This class is not thread-safe; the router's thread owns it.
+ */
+final class MinionState implements MinionSlots {
+    private final MinionEndpoint mEndpoint;
+    private final String mWorker;
+    private final boolean mNear;
+    private final MinionHealth mHealth = new MinionHealth();
+    private int mLimit;
+    private int mInFlight;
+    private boolean mAcceptsNewWork;
+
+    MinionState(MinionEndpoint endpoint, String worker, boolean near) {
+        mEndpoint = endpoint;
+        mWorker = worker;
+        mNear = near;
+    }
+
+    MinionEndpoint endpoint() {
+        return mEndpoint;
+    }
+
+    String worker() {
+        return mWorker;
+    }
+
+    MinionHealth health() {
+        return mHealth;
+    }
+
+    boolean acceptsNewWork() {
+        return mAcceptsNewWork;
+    }
+
+    void setAcceptsNewWork(boolean accepts) {
+        mAcceptsNewWork = accepts;
+    }
+
+    void setLimit(int limit) {
+        mLimit = limit;
+    }
+
+    void onSent() {
+        mInFlight++;
+        mHealth.onSent();
+    }
+
+    void onEnded() {
+        mInFlight--;
+    }
+
+    @Override
+    public int inFlight() {
+        return mInFlight;
+    }
+
+    @Override
+    public int limit() {
+        return mLimit;
+    }
+
+    @Override
+    public boolean isNear() {
+        return mNear;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/request/RequestRouter.java
@@ -0,0 +1,593 @@
+package org.endivetray.daemon.request;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.endivetray.HostRecord;
+import org.endivetray.ListedHost;
+import org.endivetray.MinionEndpoint;
+import org.endivetray.ResultCode;
+import org.endivetray.ServiceDeclaration;
+import org.endivetray.daemon.duty.Duty;
+import org.endivetray.daemon.member.StoppedWork;
+import org.endivetray.daemon.observe.Metrics;
+import org.endivetray.daemon.settings.SettingKey;
+import org.endivetray.daemon.settings.Settings;
+import org.endivetray.daemon.state.Snapshot;
+import org.endivetray.policy.FleetView;
+import org.endivetray.policy.MinionChooser;
+import org.endivetray.policy.WaitQueue;
+
+/**
+ * Takes each request from its receipt to its result.
+ *
+ * <p>A request waits, bounded and in the order of {@link WaitQueue}, until a minion that accepts
+ * new work has a free slot; it is sent, and sent again elsewhere only if that is harmless. Every
+ * request gets one result by its deadline.
+ *
+ * <p>After a pause of this process nothing is sent until the state has been read again, since hosts
+ * may have begun to leave meanwhile.
+ *
+ * <p>Invariants: a worker that is not active, or is leaving, gets no new request; a minion has at
+ * most as many requests in flight from here as its limit when one is sent; "not run" is reported
+ * only if no byte of the request reached a minion or each minion refused it.
+ *
+ * <p>This class is thread-safe; its state belongs to its own thread.
+ */
+public final class RequestRouter {
+    private static final Logger LOGGER = System.getLogger(RequestRouter.class.getName());
+    private static final int RING_ENTRIES = 8_192;
+    private static final long TICK_MILLIS = 5;
+    private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final int MAX_ATTEMPTS = 4;
+    private static final long MIN_TRY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final int TRY_MEANS = 8;
+    private static final long TRIM_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long GAUGE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final Settings mSettings;
+    private final Metrics mMetrics;
+    private final MinionClient mClient;
+    private final RoutingPolicy mPolicy;
+    private final MinionChooser mChooser;
+    private final SlotRequester mSlots;
+    private final Runnable mOnPause;
+    private final boolean mLogDecisions;
+    private final String mZone;
+    private final Duty mDuty;
+    private final Map<String, ServiceState> mServices = new HashMap<>();
+    private volatile StoppedWork mStopped = StoppedWork.NONE;
+    private volatile boolean mHeld = true;
+    private volatile int mOpen;
+    private Map<String, Long> mStoppedEpochs = Map.of();
+    private long mLastTickNanos = System.nanoTime();
+    private long mLastTrimNanos;
+    private long mLastGaugeNanos;
+
+    /**
+     * Constructs a router that has not been started.
+     *
+     * @param vertx the event loops, not null
+     * @param traffic the traffic event loop, not null
+     * @param settings the checked settings, not null
+     * @param metrics records results, not null
+     * @param slotMessages carries slot reports to their owners, not null
+     * @param onPause told that this process was paused, not null
+     */
+    public RequestRouter(
+            Vertx vertx,
+            Context traffic,
+            Settings settings,
+            Metrics metrics,
+            SlotRequester.Messages slotMessages,
+            Runnable onPause) {
+        mSettings = settings;
+        mMetrics = metrics;
+        mClient = new MinionClient(vertx, traffic, settings.number(SettingKey.ANSWER_BYTES));
+        mPolicy = RoutingPolicy.ofName(settings.text(SettingKey.POLICY));
+        mChooser = new MinionChooser(settings.number(SettingKey.SEED));
+        mOnPause = onPause;
+        mLogDecisions = settings.number(SettingKey.LOG_DECISIONS) == 1;
+        mZone = settings.text(SettingKey.ZONE);
+        mDuty = new Duty("router", RING_ENTRIES, TICK_MILLIS, this::tick);
+        mSlots = new SlotRequester(mDuty, slotMessages, this::dispatch, mPolicy);
+    }
+
+    /** Starts the thread. */
+    public void start() {
+        mDuty.start();
+    }
+
+    /** Stops the thread; requests that have no result yet get none. */
+    public void stop() {
+        mDuty.stop();
+    }
+
+    /** Returns which workers get no new work, and what is in flight there. */
+    public StoppedWork stopped() {
+        return mStopped;
+    }
+
+    /** Returns the number of requests that have no result yet. */
+    public int open() {
+        return mOpen;
+    }
+
+    /** Returns whether sending is held until the state has been read again. */
+    public boolean isHeld() {
+        return mHeld;
+    }
+
+    /** Takes in a new state. */
+    public void onSnapshot(Snapshot snapshot) {
+        mDuty.submit(() -> useSnapshot(snapshot));
+    }
+
+    /** Allows sending, as the state has been read after the start or a pause. */
+    public void release() {
+        mDuty.submit(
+                () -> {
+                    mHeld = false;
+                    mServices.values().forEach(this::dispatch);
+                });
+    }
+
+    /** Returns where grants are taken in. */
+    public SlotRequester slots() {
+        return mSlots;
+    }
+
+    /**
+     * Takes in a request.
+     *
+     * @param request the request, not null
+     * @return whether it was accepted; if not, it has no result yet
+     */
+    boolean submit(RoutedRequest request) {
+        return mDuty.offer(() -> accept(request));
+    }
+
+    /** Takes in that the caller has gone away. */
+    void cancel(RoutedRequest request) {
+        mDuty.submit(() -> onCallerGone(request));
+    }
+
+    private void accept(RoutedRequest request) {
+        mOpen++;
+        ServiceState service = mServices.get(request.service());
+        if (service == null) {
+            end(request, Result.failed(ResultCode.UNKNOWN_SERVICE, request.service()));
+            return;
+        }
+        if (service.usable().isEmpty()) {
+            end(request, Result.failed(ResultCode.DRAINING_ONLY, request.service()));
+            return;
+        }
+        long now = System.nanoTime();
+        if (now + expectedNanos(service, request) - request.deadlineNanos() > 0) {
+            end(request, Result.failed(ResultCode.DEADLINE_TOO_SHORT, "waiting list is long"));
+            return;
+        }
+        Optional<ResultCode> refused = service.queue().offer(request.entry());
+        if (refused.isPresent()) {
+            end(request, Result.failed(refused.get(), "waiting list is full"));
+            return;
+        }
+        dispatch(service);
+    }
+
+    /** Returns the time that the request would wait and run, as far as that can be told. */
+    private long expectedNanos(ServiceState service, RoutedRequest request) {
+        int usable = service.usable().size() * mSettings.number(SettingKey.SLOTS);
+        int fairShare = usable / mSettings.number(SettingKey.ENTRY_HOSTS);
+        int slots = Math.max(1, Math.max(service.slots(), fairShare));
+        double turns = (double) service.queue().ahead(request.isUrgent()) / slots;
+        return (long) (turns * service.meanNanos());
+    }
+
+    /** Sends waiting requests while minions have free slots. */
+    private void dispatch(ServiceState service) {
+        if (mHeld) {
+            return;
+        }
+        List<WaitQueue.Entry<RoutedRequest>> skipped = new ArrayList<>();
+        while (service.queue().size() > 0 && hasFreeSlot(service)) {
+            WaitQueue.Entry<RoutedRequest> entry = service.queue().poll().orElseThrow();
+            RoutedRequest request = entry.item();
+            long now = System.nanoTime();
+            if (now - request.deadlineNanos() >= 0) {
+                end(request, Result.failed(ResultCode.DEADLINE_PASSED, "no slot in time"));
+                continue;
+            }
+            Optional<MinionState> minion = choose(service, request, now);
+            if (minion.isEmpty()) {
+                skipped.add(entry);
+                if (skipped.size() >= MAX_ATTEMPTS) {
+                    break;
+                }
+                continue;
+            }
+            send(service, request, minion.get(), now);
+        }
+        skipped.forEach(service.queue()::putBack);
+        if (service.queue().size() > 0) {
+            mSlots.onStarved(service);
+        }
+    }
+
+    private static boolean hasFreeSlot(ServiceState service) {
+        for (MinionState minion : service.minions().values()) {
+            if (minion.acceptsNewWork() && minion.free() > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private Optional<MinionState> choose(
+            ServiceState service, RoutedRequest request, long nowNanos) {
+        List<MinionState> untried = new ArrayList<>();
+        List<MinionState> tried = new ArrayList<>();
+        for (MinionState minion : service.minions().values()) {
+            boolean admits = minion.health().admits(request.isRepeatable(), nowNanos);
+            if (!minion.acceptsNewWork() || !admits) {
+                continue;
+            }
+            boolean again = request.tried().contains(minion.endpoint().address());
+            (again ? tried : untried).add(minion);
+        }
+        Optional<MinionState> chosen = mPolicy.choose(mChooser, untried);
+        return chosen.isPresent() || !untried.isEmpty() ? chosen : mPolicy.choose(mChooser, tried);
+    }
+
+    private void send(
+            ServiceState service, RoutedRequest request, MinionState minion, long nowNanos) {
+        minion.onSent();
+        long until = untilNanos(service, request, nowNanos);
+        if (mLogDecisions) {
+            logSent(request, minion);
+        }
+        MinionClient.Attempt attempt =
+                mClient.send(
+                        request,
+                        minion.endpoint(),
+                        minion.limit(),
+                        nowNanos,
+                        until,
+                        (end, answer) ->
+                                mDuty.submit(
+                                        () -> onAttemptEnd(service, request, minion, end, answer)));
+        request.onSent(minion, attempt, nowNanos);
+    }
+
+    private void logSent(RoutedRequest request, MinionState minion) {
+        LOGGER.log(
+                Level.INFO,
+                "route: sent request="
+                        + request.id()
+                        + " service="
+                        + request.service()
+                        + " member="
+                        + request.member()
+                        + " minion="
+                        + minion.endpoint().address()
+                        + " worker="
+                        + minion.worker()
+                        + " slots="
+                        + minion.inFlight()
+                        + "/"
+                        + minion.limit()
+                        + " attempt="
+                        + (request.attempts() + 1));
+    }
+
+    /** Returns the time until which one minion may take; less if another could still be tried. */
+    private long untilNanos(ServiceState service, RoutedRequest request, long nowNanos) {
+        long left = request.deadlineNanos() - nowNanos;
+        long tryNanos = Math.max(MIN_TRY_NANOS, (long) (TRY_MEANS * service.meanNanos()));
+        boolean mayTryAgain =
+                request.isRepeatable()
+                        && service.usable().size() > 1
+                        && request.attempts() + 1 < MAX_ATTEMPTS
+                        && left > 2 * tryNanos;
+        return mayTryAgain ? nowNanos + tryNanos : request.deadlineNanos();
+    }
+
+    private void onAttemptEnd(
+            ServiceState service,
+            RoutedRequest request,
+            MinionState minion,
+            AttemptEnd end,
+            MinionAnswer answer) {
+        long now = System.nanoTime();
+        minion.onEnded();
+        request.onAttemptEnded();
+        recordHealth(service, minion, end, answer, now);
+        publishStoppedIf(minion);
+        if (end.isAnswered()) {
+            service.onAnswered(now - request.sentNanos());
+        }
+        if (request.isEnded()) {
+            dispatch(service);
+            return;
+        }
+        boolean failed = !end.isAnswered() || (answer != null && answer.isFailure());
+        if (failed && mayRetry(service, request, end, now)) {
+            retry(service, request, end);
+        } else if (end == AttemptEnd.STREAMED) {
+            finish(request, ResultCode.ANSWERED);
+        } else if (end == AttemptEnd.STREAM_CUT) {
+            finish(request, ResultCode.ANSWER_DAMAGED);
+        } else {
+            end(request, toResult(request, end, answer));
+        }
+        if (minion.inFlight() >= minion.limit()) {
+            service.setReportDue();
+        }
+        dispatch(service);
+    }
+
+    private Result toResult(RoutedRequest request, AttemptEnd end, MinionAnswer answer) {
+        if (answer != null) {
+            return Result.answered(answer);
+        }
+        return Result.failed(end.code(), "after " + request.attempts() + " attempts");
+    }
+
+    private boolean mayRetry(
+            ServiceState service, RoutedRequest request, AttemptEnd end, long nowNanos) {
+        boolean harmless = end.isNotRun() || request.isRepeatable();
+        boolean possible =
+                harmless
+                        && end != AttemptEnd.STREAM_CUT
+                        && end != AttemptEnd.CANCELLED
+                        && !request.isCallerGone()
+                        && request.deadlineNanos() - nowNanos > 0;
+        if (!possible) {
+            return false;
+        }
+        if (end == AttemptEnd.NOT_SENT) {
+            return true;
+        }
+        if (request.attempts() >= maxAttempts(end)) {
+            return false;
+        }
+        boolean free = end == AttemptEnd.REFUSED || end == AttemptEnd.NOT_CONNECTED;
+        boolean overloaded = service.queue().size() > service.slots();
+        return free || service.retries().tryTake(overloaded);
+    }
+
+    /** Returns the attempts allowed; refusals cost the minion little, so more are allowed. */
+    private static int maxAttempts(AttemptEnd end) {
+        return end == AttemptEnd.REFUSED ? MAX_ATTEMPTS * 2 : MAX_ATTEMPTS;
+    }
+
+    private void retry(ServiceState service, RoutedRequest request, AttemptEnd end) {
+        mMetrics.onRetry(request.service());
+        if (mLogDecisions) {
+            LOGGER.log(
+                    Level.INFO,
+                    () -> "route: sent again request=" + request.id() + " after=" + end);
+        }
+        service.queue().putBack(request.entry());
+    }
+
+    private void recordHealth(
+            ServiceState service,
+            MinionState minion,
+            AttemptEnd end,
+            MinionAnswer answer,
+            long nowNanos) {
+        boolean failed = end.isMinionFault() || (answer != null && answer.isFailure());
+        if (!failed && end.isAnswered()) {
+            minion.health().onSuccess();
+        } else if (!failed) {
+            minion.health().onNeutral();
+        } else if (minion.health().onFailure(service.mayEject(), nowNanos)) {
+            mMetrics.onEjection(service.declaration().name());
+            LOGGER.log(
+                    Level.WARNING,
+                    () ->
+                            "route: minion left out service="
+                                    + service.declaration().name()
+                                    + " minion="
+                                    + minion.endpoint().address()
+                                    + " reason="
+                                    + end);
+        }
+    }
+
+    private void onCallerGone(RoutedRequest request) {
+        if (request.isEnded()) {
+            return;
+        }
+        request.onCallerGone();
+        ServiceState service = mServices.get(request.service());
+        if (service != null && service.queue().remove(request.entry())) {
+            end(request, Result.failed(ResultCode.CALLER_GONE, "while waiting"));
+        } else if (request.attempt() != null && request.isRepeatable()) {
+            request.attempt().cancel();
+        }
+    }
+
+    private void end(RoutedRequest request, Result result) {
+        if (finish(request, result.code())) {
+            request.sink().end(result);
+        }
+    }
+
+    private boolean finish(RoutedRequest request, ResultCode code) {
+        if (request.isEnded()) {
+            return false;
+        }
+        request.onEnded();
+        mOpen--;
+        mMetrics.onResult(request.service(), code, System.nanoTime() - request.receivedNanos());
+        if (mLogDecisions && code != ResultCode.ANSWERED) {
+            LOGGER.log(
+                    Level.INFO,
+                    () ->
+                            "route: ended request="
+                                    + request.id()
+                                    + " service="
+                                    + request.service()
+                                    + " code="
+                                    + code.number()
+                                    + " outcome="
+                                    + code.outcome().label()
+                                    + " reason="
+                                    + code);
+        }
+        return true;
+    }
+
+    private void tick() {
+        long now = System.nanoTime();
+        if (now - mLastTickNanos > PAUSE_NANOS) {
+            mHeld = true;
+            LOGGER.log(Level.WARNING, "route: process was paused; sending is held");
+            mOnPause.run();
+        }
+        mLastTickNanos = now;
+        for (ServiceState service : mServices.values()) {
+            service.queue()
+                    .expire(
+                            now,
+                            entry ->
+                                    end(
+                                            entry.item(),
+                                            Result.failed(
+                                                    ResultCode.DEADLINE_PASSED,
+                                                    "no slot in time")));
+            mSlots.tick(service, now);
+            dispatch(service);
+        }
+        trimConnections(now);
+        recordGauges(now);
+    }
+
+    private void trimConnections(long now) {
+        if (now - mLastTrimNanos < TRIM_NANOS) {
+            return;
+        }
+        mLastTrimNanos = now;
+        Map<String, Integer> keep = new HashMap<>();
+        for (ServiceState service : mServices.values()) {
+            service.minions()
+                    .forEach((address, minion) -> keep.merge(address, minion.limit(), Math::max));
+        }
+        mClient.trim(keep);
+    }
+
+    private void recordGauges(long now) {
+        if (now - mLastGaugeNanos < GAUGE_NANOS) {
+            return;
+        }
+        mLastGaugeNanos = now;
+        mServices.forEach(
+                (name, service) ->
+                        mMetrics.onSlots(
+                                name, service.slots(), service.inFlight(), service.queue().size()));
+    }
+
+    private void useSnapshot(Snapshot snapshot) {
+        Map<String, Map<String, MinionState>> found = findMinions(snapshot);
+        for (ServiceDeclaration declaration : snapshot.services()) {
+            ServiceState service =
+                    mServices.computeIfAbsent(
+                            declaration.name(),
+                            name ->
+                                    new ServiceState(
+                                            declaration,
+                                            mSettings.number(SettingKey.WAITING_SERVICE),
+                                            mSettings.number(SettingKey.WAITING_MEMBER)));
+            service.setDeclaration(declaration);
+        }
+        mServices.forEach((name, service) -> merge(service, found.getOrDefault(name, Map.of())));
+        mStoppedEpochs = stoppedEpochs(snapshot.fleet());
+        publishStopped();
+        mServices.values().forEach(this::dispatch);
+    }
+
+    private static Map<String, Long> stoppedEpochs(FleetView fleet) {
+        Map<String, Long> epochs = new TreeMap<>();
+        for (HostRecord hostRecord : fleet.records()) {
+            if (!hostRecord.state().acceptsNewWork() && !hostRecord.state().isIdle()) {
+                epochs.put(hostRecord.worker(), hostRecord.epoch());
+            }
+        }
+        return epochs;
+    }
+
+    private Map<String, Map<String, MinionState>> findMinions(Snapshot snapshot) {
+        Map<String, Map<String, MinionState>> found = new HashMap<>();
+        for (ListedHost host : snapshot.fleet().listedHosts()) {
+            boolean accepts =
+                    host.status().isAvailable()
+                            && snapshot.fleet()
+                                    .record(host.worker())
+                                    .filter(known -> known.state().acceptsNewWork())
+                                    .isPresent();
+            for (MinionEndpoint endpoint : host.minions()) {
+                MinionState minion =
+                        new MinionState(endpoint, host.worker(), host.zone().equals(mZone));
+                minion.setAcceptsNewWork(accepts);
+                found.computeIfAbsent(endpoint.service(), name -> new HashMap<>())
+                        .put(endpoint.address(), minion);
+            }
+        }
+        return found;
+    }
+
+    private void merge(ServiceState service, Map<String, MinionState> found) {
+        int fixed =
+                mPolicy.fixedLimit(
+                        mSettings.number(SettingKey.SLOTS),
+                        mSettings.number(SettingKey.CONNECTIONS),
+                        mSettings.number(SettingKey.ENTRY_HOSTS));
+        service.minions().values().forEach(minion -> minion.setAcceptsNewWork(false));
+        found.forEach(
+                (address, minion) -> {
+                    MinionState known =
+                            service.minions().computeIfAbsent(address, unknown -> minion);
+                    known.setAcceptsNewWork(minion.acceptsNewWork());
+                    if (fixed != RoutingPolicy.NO_FIXED_LIMIT) {
+                        known.setLimit(fixed);
+                    }
+                });
+        service.minions()
+                .values()
+                .removeIf(
+                        minion ->
+                                !found.containsKey(minion.endpoint().address())
+                                        && minion.inFlight() == 0);
+        service.setReportDue();
+    }
+
+    private void publishStoppedIf(MinionState minion) {
+        if (mStoppedEpochs.containsKey(minion.worker())) {
+            publishStopped();
+        }
+    }
+
+    private void publishStopped() {
+        Map<String, Integer> inFlight = new TreeMap<>();
+        mStoppedEpochs.keySet().forEach(worker -> inFlight.put(worker, 0));
+        for (ServiceState service : mServices.values()) {
+            for (MinionState minion : service.minions().values()) {
+                if (inFlight.containsKey(minion.worker())) {
+                    inFlight.merge(minion.worker(), minion.inFlight(), Integer::sum);
+                }
+            }
+        }
+        mStopped = new StoppedWork(mStoppedEpochs, inFlight);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/request/RoutedRequest.java
@@ -0,0 +1,170 @@
+package org.endivetray.daemon.request;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.endivetray.Member;
+import org.endivetray.policy.WaitQueue;
+
+/**
+ * One request on its way from a caller to a minion.
+ *
+ * <p>Invariants: the facts of the request do not change; it waits, is in flight or has ended.
+ *
+ * <p>The facts may be read by any thread; the progress belongs to the router's thread.
+ */
+final class RoutedRequest {
+    private final String mId;
+    private final String mService;
+    private final HttpMethod mMethod;
+    private final String mUri;
+    private final Map<String, String> mHeaders;
+    private final Buffer mBody;
+    private final boolean mRepeatable;
+    private final boolean mUrgent;
+    private final long mReceivedNanos;
+    private final long mDeadlineNanos;
+    private final ResultSink mSink;
+    private final WaitQueue.Entry<RoutedRequest> mEntry;
+    private final Set<String> mTried = new HashSet<>();
+    private int mAttempts;
+    private long mSentNanos;
+    private boolean mEnded;
+    private boolean mCallerGone;
+    private MinionClient.Attempt mAttempt;
+
+    RoutedRequest(
+            String id,
+            String service,
+            Call call,
+            Member member,
+            boolean urgent,
+            boolean repeatable,
+            long receivedNanos,
+            long deadlineNanos,
+            ResultSink sink) {
+        mId = id;
+        mService = service;
+        mMethod = call.method();
+        mUri = call.uri();
+        mHeaders = call.headers();
+        mBody = call.body();
+        mRepeatable = repeatable;
+        mUrgent = urgent;
+        mReceivedNanos = receivedNanos;
+        mDeadlineNanos = deadlineNanos;
+        mSink = sink;
+        mEntry = new WaitQueue.Entry<>(this, member.name(), member.weight(), urgent, deadlineNanos);
+    }
+
+    String id() {
+        return mId;
+    }
+
+    String service() {
+        return mService;
+    }
+
+    HttpMethod method() {
+        return mMethod;
+    }
+
+    String uri() {
+        return mUri;
+    }
+
+    Map<String, String> headers() {
+        return mHeaders;
+    }
+
+    Buffer body() {
+        return mBody;
+    }
+
+    boolean isRepeatable() {
+        return mRepeatable;
+    }
+
+    boolean isUrgent() {
+        return mUrgent;
+    }
+
+    String member() {
+        return mEntry.member();
+    }
+
+    long receivedNanos() {
+        return mReceivedNanos;
+    }
+
+    long deadlineNanos() {
+        return mDeadlineNanos;
+    }
+
+    ResultSink sink() {
+        return mSink;
+    }
+
+    WaitQueue.Entry<RoutedRequest> entry() {
+        return mEntry;
+    }
+
+    Set<String> tried() {
+        return mTried;
+    }
+
+    int attempts() {
+        return mAttempts;
+    }
+
+    long sentNanos() {
+        return mSentNanos;
+    }
+
+    boolean isEnded() {
+        return mEnded;
+    }
+
+    boolean isCallerGone() {
+        return mCallerGone;
+    }
+
+    MinionClient.Attempt attempt() {
+        return mAttempt;
+    }
+
+    void onSent(MinionState minion, MinionClient.Attempt attempt, long nowNanos) {
+        mAttempts++;
+        mTried.add(minion.endpoint().address());
+        mAttempt = attempt;
+        mSentNanos = nowNanos;
+    }
+
+    void onAttemptEnded() {
+        mAttempt = null;
+    }
+
+    void onCallerGone() {
+        mCallerGone = true;
+    }
+
+    void onEnded() {
+        mEnded = true;
+    }
+
+    /**
+     * What is sent to the minion.
+     *
+     * @param method the HTTP method, not null
+     * @param uri the path and query, not null
+     * @param headers the headers that are passed on, not null
+     * @param body the body, not null
+     */
+    record Call(HttpMethod method, String uri, Map<String, String> headers, Buffer body) {
+        Call {
+            headers = Map.copyOf(headers);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/settings/Settings.java
@@ -0,0 +1,166 @@
+package org.endivetray.daemon.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.endivetray.EndivetrayException;
+import org.endivetray.Json;
+import org.endivetray.ResultCode;
+
+/**
+ * The checked settings of one daemon.
+ *
+ * <p>Settings are read from JSON with comments. All faults are found in one pass and reported
+ * together, each with the key's path.
+ *
+ * <p>Invariants: every key has a value of its type and within its range.
+ *
+ * <p>This class is immutable and thread-safe.
+ */
+public final class Settings {
+    private static final Set<String> POLICIES = Set.of("granted", "static", "p2c");
+    private static final Set<String> LEVELS = Set.of("DEBUG", "INFO", "WARNING", "ERROR");
+
+    private final Map<SettingKey, Object> mValues;
+
+    private Settings(Map<SettingKey, Object> values) {
+        mValues = values;
+    }
+
+    /**
+     * Returns the settings in a file.
+     *
+     * @param file the file, not null
+     * @throws EndivetrayException with {@link ResultCode#SETTINGS_UNREADABLE} or {@link
+     *     ResultCode#INVALID_SETTINGS}
+     */
+    public static Settings ofFile(Path file) {
+        try {
+            return ofText(Files.readString(file));
+        } catch (IOException e) {
+            throw new EndivetrayException(
+                    ResultCode.SETTINGS_UNREADABLE, "cannot read '" + file + "'", e);
+        }
+    }
+
+    /**
+     * Returns the settings in a text.
+     *
+     * @param text JSON with comments, not null
+     * @throws EndivetrayException with {@link ResultCode#SETTINGS_UNREADABLE} or {@link
+     *     ResultCode#INVALID_SETTINGS}
+     */
+    public static Settings ofText(String text) {
+        JsonNode root;
+        try {
+            root = Json.mapper().readTree(text);
+        } catch (IOException e) {
+            throw new EndivetrayException(
+                    ResultCode.SETTINGS_UNREADABLE, "not JSON: " + e.getMessage(), e);
+        }
+        if (!root.isObject()) {
+            throw new EndivetrayException(
+                    ResultCode.SETTINGS_UNREADABLE, "the settings are not an object");
+        }
+        List<String> faults = new ArrayList<>();
+        Map<SettingKey, Object> values = new EnumMap<>(SettingKey.class);
+        collect("", root, values, faults);
+        addDefaults(values, faults);
+        checkChoice(SettingKey.POLICY, POLICIES, values, faults);
+        checkChoice(SettingKey.LOG_LEVEL, LEVELS, values, faults);
+        if (!faults.isEmpty()) {
+            throw new EndivetrayException(ResultCode.INVALID_SETTINGS, String.join("\n", faults));
+        }
+        return new Settings(values);
+    }
+
+    /** Returns the text of the key. */
+    public String text(SettingKey key) {
+        return (String) mValues.get(key);
+    }
+
+    /** Returns the number of the key. */
+    public int number(SettingKey key) {
+        return ((Number) mValues.get(key)).intValue();
+    }
+
+    /** Returns a copy with another value of one key. */
+    public Settings with(SettingKey key, Object value) {
+        Map<SettingKey, Object> values = new EnumMap<>(mValues);
+        values.put(key, value);
+        return new Settings(values);
+    }
+
+    private static void collect(
+            String prefix, JsonNode node, Map<SettingKey, Object> values, List<String> faults) {
+        node.properties()
+                .forEach(
+                        child -> {
+                            String path = prefix + child.getKey();
+                            collectOne(path, child.getValue(), values, faults);
+                        });
+    }
+
+    private static void collectOne(
+            String path, JsonNode node, Map<SettingKey, Object> values, List<String> faults) {
+        SettingKey key = SettingKey.ofPath(path).orElse(null);
+        if (key == null && node.isObject() && isGroup(path)) {
+            collect(path + ".", node, values, faults);
+        } else if (key == null) {
+            faults.add(path + ": unknown key");
+        } else if (key.isNumber()) {
+            collectNumber(key, node, values, faults);
+        } else if (node.isTextual()) {
+            values.put(key, node.textValue());
+        } else {
+            values.put(key, "");
+            faults.add(path + ": must be a text: " + node);
+        }
+    }
+
+    private static void collectNumber(
+            SettingKey key, JsonNode node, Map<SettingKey, Object> values, List<String> faults) {
+        values.put(key, node.asLong());
+        if (!node.isIntegralNumber()) {
+            faults.add(key.path() + ": must be a whole number: " + node);
+        } else if (!node.canConvertToLong() || !key.accepts(node.longValue())) {
+            faults.add(key.path() + ": must be " + key.range() + " " + key.unit() + ": " + node);
+        }
+    }
+
+    private static boolean isGroup(String path) {
+        return Arrays.stream(SettingKey.values())
+                .anyMatch(key -> key.path().startsWith(path + "."));
+    }
+
+    private static void addDefaults(Map<SettingKey, Object> values, List<String> faults) {
+        for (SettingKey key : SettingKey.values()) {
+            if (values.containsKey(key)) {
+                continue;
+            }
+            if (key.defaultValue() == null) {
+                faults.add(key.path() + ": missing");
+            } else {
+                values.put(key, key.defaultValue());
+            }
+        }
+    }
+
+    private static void checkChoice(
+            SettingKey key,
+            Set<String> choices,
+            Map<SettingKey, Object> values,
+            List<String> faults) {
+        Object value = values.get(key);
+        if (!choices.contains(value) && !"".equals(value)) {
+            faults.add(key.path() + ": must be " + key.meaning() + ": \"" + value + "\"");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/state/HostShard.java
@@ -0,0 +1,30 @@
+package org.endivetray.daemon.state;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.endivetray.HostRecord;
+
+/**
+ * The stored group of host records that share one key.
+ *
+ * <p>Invariants: each record stands under its worker's name.
+ *
+ * <p>This class is immutable and thread-safe.
+ *
+ * @param hosts records by worker, not null
+ */
+public record HostShard(Map<String, HostRecord> hosts) {
+    /** A shard without records. */
+    public static final HostShard EMPTY = new HostShard(Map.of());
+
+    public HostShard {
+        hosts = Map.copyOf(hosts);
+    }
+
+    /** Returns a copy with a record added or replaced. */
+    public HostShard plus(HostRecord hostRecord) {
+        Map<String, HostRecord> next = new TreeMap<>(hosts);
+        next.put(hostRecord.worker(), hostRecord);
+        return new HostShard(next);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/state/Snapshot.java
@@ -0,0 +1,271 @@
+package org.endivetray.daemon.state;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.endivetray.EndivetrayException;
+import org.endivetray.HostRecord;
+import org.endivetray.Ledger;
+import org.endivetray.ListedHost;
+import org.endivetray.Member;
+import org.endivetray.Plan;
+import org.endivetray.Pool;
+import org.endivetray.ServiceDeclaration;
+import org.endivetray.platform.Codec;
+import org.endivetray.platform.Versioned;
+import org.endivetray.policy.FleetView;
+
+/**
+ * Everything that a daemon knows of the stored state and the host list at one moment.
+ *
+ * <p>Invariants: of each key the highest version that was seen stands here; a record that cannot be
+ * read is left out and named in {@link #damaged()}.
+ *
+ * <p>This class is immutable and thread-safe.
+ */
+public final class Snapshot {
+    /** A snapshot from before anything was read. */
+    public static final Snapshot EMPTY = new Snapshot(0, Map.of(), Map.of(), 0, null);
+
+    private final long mRevision;
+    private final Map<String, Versioned> mRaw;
+    private final Map<String, Object> mDecoded = new HashMap<>();
+    private final Map<String, String> mDamaged = new TreeMap<>();
+    private final Map<String, ListedHost> mListed;
+    private final long mListedNanos;
+    private final FleetView mFleet;
+    private final Map<String, ServiceDeclaration> mServices = new TreeMap<>();
+
+    private Snapshot(
+            long revision,
+            Map<String, Versioned> raw,
+            Map<String, ListedHost> listed,
+            long listedNanos,
+            Snapshot previous) {
+        mRevision = revision;
+        mRaw = raw;
+        mListed = listed;
+        mListedNanos = listedNanos;
+        raw.values().forEach(value -> decode(value, previous));
+        mFleet = buildFleet();
+        for (Pool pool : mFleet.pools()) {
+            for (ServiceDeclaration service : pool.services()) {
+                mServices.putIfAbsent(service.name(), service);
+            }
+        }
+    }
+
+    /** Returns the store's revision up to which everything is known. */
+    public long revision() {
+        return mRevision;
+    }
+
+    /** Returns pools, host records, ledgers and the host list. */
+    public FleetView fleet() {
+        return mFleet;
+    }
+
+    /** Returns the declaration of the service, or empty. */
+    public Optional<ServiceDeclaration> service(String name) {
+        return Optional.ofNullable(mServices.get(name));
+    }
+
+    /** Returns all declared services. */
+    public List<ServiceDeclaration> services() {
+        return List.copyOf(mServices.values());
+    }
+
+    /** Returns the member of the name, or empty. */
+    public Optional<Member> member(String name) {
+        return decoded(Keys.MEMBER + name, Member.class);
+    }
+
+    /** Returns all plans. */
+    public List<Plan> plans() {
+        return all(Keys.PLAN, Plan.class);
+    }
+
+    /** Returns the plan of the id, or empty. */
+    public Optional<Plan> plan(String id) {
+        return decoded(Keys.PLAN + id, Plan.class);
+    }
+
+    /** Returns all registered daemons. */
+    public List<Registration> daemons() {
+        return all(Keys.DAEMON, Registration.class);
+    }
+
+    /** Returns whether the store holds a lease of the daemon's incarnation. */
+    public boolean isAlive(Registration daemon) {
+        return decoded(Keys.ALIVE + daemon.name(), Alive.class)
+                .filter(alive -> alive.incarnation() == daemon.incarnation())
+                .isPresent();
+    }
+
+    /** Returns what confirmed plans hold. */
+    public Holds holds() {
+        return decoded(Keys.HOLDS, Holds.class).orElse(Holds.EMPTY);
+    }
+
+    /** Returns the shard of the key, empty if it is not stored. */
+    public HostShard shard(String key) {
+        return decoded(key, HostShard.class).orElse(HostShard.EMPTY);
+    }
+
+    /** Returns the version of the key, 0 if it is not stored. */
+    public long version(String key) {
+        Versioned value = mRaw.get(key);
+        return value == null || !value.isPresent() ? 0 : value.version();
+    }
+
+    /** Returns the keys of records that cannot be read, each with the reason. */
+    public Map<String, String> damaged() {
+        return Map.copyOf(mDamaged);
+    }
+
+    /** Returns the monotonic time at which the host list was read, in nanoseconds. */
+    public long listedNanos() {
+        return mListedNanos;
+    }
+
+    /** Returns whether the host list has been read. */
+    public boolean hasHosts() {
+        return !mListed.isEmpty();
+    }
+
+    /** Returns the values that changed after the revision, deleted ones included. */
+    public List<Versioned> changedAfter(long revision) {
+        return mRaw.values().stream().filter(value -> value.version() > revision).toList();
+    }
+
+    /**
+     * Returns a copy with newer values; a value older than the known one is ignored.
+     *
+     * @param values read or watched values, not null
+     * @param revision the revision up to which they are complete
+     */
+    public Snapshot withValues(List<Versioned> values, long revision) {
+        Map<String, Versioned> next = new HashMap<>(mRaw);
+        for (Versioned value : values) {
+            Versioned known = next.get(value.key());
+            if (known == null || known.version() < value.version()) {
+                next.put(value.key(), value);
+            }
+        }
+        return new Snapshot(Math.max(mRevision, revision), next, mListed, mListedNanos, this);
+    }
+
+    /**
+     * Returns a copy in which exactly the listed keys exist.
+     *
+     * @param values all values as of the revision, not null
+     * @param revision the revision
+     */
+    public Snapshot withAll(List<Versioned> values, long revision) {
+        if (revision < mRevision) {
+            return this;
+        }
+        Set<String> present = new HashSet<>();
+        values.forEach(value -> present.add(value.key()));
+        Map<String, Versioned> next = new HashMap<>(mRaw);
+        next.replaceAll(
+                (key, known) ->
+                        present.contains(key) || known.version() > revision
+                                ? known
+                                : new Versioned(key, revision, null));
+        return new Snapshot(revision, next, mListed, mListedNanos, this)
+                .withValues(values, revision);
+    }
+
+    /**
+     * Returns a copy with another host list.
+     *
+     * @param rows the rows, not null
+     * @param nowNanos time on the monotonic clock, in nanoseconds
+     */
+    public Snapshot withHosts(List<ListedHost> rows, long nowNanos) {
+        Map<String, ListedHost> listed = new TreeMap<>();
+        rows.forEach(row -> listed.put(row.worker(), row));
+        return new Snapshot(mRevision, mRaw, listed, nowNanos, this);
+    }
+
+    private void decode(Versioned value, Snapshot previous) {
+        if (!value.isPresent()) {
+            return;
+        }
+        if (previous != null && previous.mRaw.get(value.key()) == value) {
+            reuse(value.key(), previous);
+            return;
+        }
+        Class<?> type = typeOf(value.key());
+        if (type == null) {
+            mDamaged.put(value.key(), "unknown key");
+            return;
+        }
+        try {
+            mDecoded.put(value.key(), Codec.decode(value.key(), value.value(), type));
+        } catch (EndivetrayException e) {
+            mDamaged.put(value.key(), e.getMessage());
+        }
+    }
+
+    private void reuse(String key, Snapshot previous) {
+        Object known = previous.mDecoded.get(key);
+        if (known != null) {
+            mDecoded.put(key, known);
+        } else {
+            mDamaged.put(key, previous.mDamaged.get(key));
+        }
+    }
+
+    private static Class<?> typeOf(String key) {
+        if (key.equals(Keys.HOLDS)) {
+            return Holds.class;
+        }
+        if (key.startsWith(Keys.POOL)) {
+            return Pool.class;
+        }
+        if (key.startsWith(Keys.MEMBER)) {
+            return Member.class;
+        }
+        if (key.startsWith(Keys.HOSTS)) {
+            return HostShard.class;
+        }
+        if (key.startsWith(Keys.LEDGER)) {
+            return Ledger.class;
+        }
+        if (key.startsWith(Keys.PLAN)) {
+            return Plan.class;
+        }
+        if (key.startsWith(Keys.ALIVE)) {
+            return Alive.class;
+        }
+        return key.startsWith(Keys.DAEMON) ? Registration.class : null;
+    }
+
+    private FleetView buildFleet() {
+        Map<String, Pool> pools = new HashMap<>();
+        all(Keys.POOL, Pool.class).forEach(pool -> pools.put(pool.name(), pool));
+        Map<String, HostRecord> records = new HashMap<>();
+        all(Keys.HOSTS, HostShard.class).forEach(shard -> records.putAll(shard.hosts()));
+        Map<String, Ledger> ledgers = new HashMap<>();
+        all(Keys.LEDGER, Ledger.class).forEach(ledger -> ledgers.put(ledger.pool(), ledger));
+        return new FleetView(pools, records, ledgers, mListed);
+    }
+
+    private <T> Optional<T> decoded(String key, Class<T> type) {
+        return Optional.ofNullable(type.cast(mDecoded.get(key)));
+    }
+
+    private <T> List<T> all(String prefix, Class<T> type) {
+        return mDecoded.entrySet().stream()
+                .filter(entry -> entry.getKey().startsWith(prefix))
+                .sorted(Map.Entry.comparingByKey())
+                .map(entry -> type.cast(entry.getValue()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/endivetray/Member.java
@@ -0,0 +1,17 @@
+package org.endivetray;
+
+/**
+ * A firm or team on whose behalf requests are sent.
+ *
+ * <p>Invariants: the name is not null; the weight is at least 1.
+ *
+ * <p>This class is immutable and thread-safe.
+ *
+ * @param name the unique name, not null
+ * @param weight share of a contended service relative to other members
+ */
+public record Member(String name, int weight) {
+    public Member {
+        weight = Math.max(1, weight);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/endivetray/MinionEndpoint.java
@@ -0,0 +1,19 @@
+package org.endivetray;
+
+/**
+ * The address of one minion and the service that it carries.
+ *
+ * <p>Invariants: no component is null; the port is between 1 and 65535.
+ *
+ * <p>This class is immutable and thread-safe.
+ *
+ * @param service the service's name, not null
+ * @param host the IP number, not null
+ * @param port the TCP port
+ */
+public record MinionEndpoint(String service, String host, int port) {
+    /** Returns the address as {@code host:port}. */
+    public String address() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/endivetray/policy/MinionChooser.java
@@ -0,0 +1,77 @@
+package org.endivetray.policy;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/**
+ * Chooses the minion for a request among those that may take it.
+ *
+ * <p>The least loaded minion wins. A minion in another availability zone counts as loaded by {@link
+ * #FAR_PENALTY} more, so near minions go first until they are that much fuller than the others.
+ *
+ * <p>Invariants: a minion without a free slot is never chosen.
+ *
+ * <p>This class is not thread-safe; the router's thread owns it.
+ */
+public final class MinionChooser {
+    /** Share of a minion's slots by which a near minion may be fuller than a far one. */
+    public static final double FAR_PENALTY = 0.25;
+
+    private final SplittableRandom mRandom;
+
+    /**
+     * Constructs a chooser.
+     *
+     * @param seed seed of the random choice between equals
+     */
+    public MinionChooser(long seed) {
+        mRandom = new SplittableRandom(seed);
+    }
+
+    /**
+     * Returns the least loaded candidate, or empty if none has a free slot.
+     *
+     * @param candidates minions that admit the request, not null
+     * @param <M> type of the candidates
+     */
+    public <M extends MinionSlots> Optional<M> leastLoaded(List<M> candidates) {
+        M best = null;
+        double bestScore = 0;
+        int equals = 1;
+        for (M candidate : candidates) {
+            if (candidate.free() <= 0) {
+                continue;
+            }
+            double score = score(candidate);
+            if (best == null || score < bestScore) {
+                best = candidate;
+                bestScore = score;
+                equals = 1;
+            } else if (score == bestScore && mRandom.nextInt(++equals) == 0) {
+                best = candidate;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /**
+     * Returns the less loaded of two random candidates, or empty if neither has a free slot.
+     *
+     * @param candidates minions that admit the request, not null
+     * @param <M> type of the candidates
+     */
+    public <M extends MinionSlots> Optional<M> betterOfTwo(List<M> candidates) {
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        M first = candidates.get(mRandom.nextInt(candidates.size()));
+        M second = candidates.get(mRandom.nextInt(candidates.size()));
+        return leastLoaded(List.of(first, second));
+    }
+
+    private static double score(MinionSlots minion) {
+        double load = (double) minion.inFlight() / Math.max(1, minion.limit());
+        return minion.isNear() ? load : load + FAR_PENALTY;
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/endivetray/policy/PlanProgress.java
@@ -0,0 +1,108 @@
+package org.endivetray.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.endivetray.HostRecord;
+import org.endivetray.HostState;
+import org.endivetray.Plan;
+import org.endivetray.PlanStep;
+import org.endivetray.StepKind;
+import org.endivetray.StepState;
+
+/**
+ * Tells from host records and ledgers how far each step of a plan has come.
+ *
+ * <p>Progress is not stored a second time, so a daemon that takes a plan over sees the same steps
+ * done as the one before it, whatever that one was doing last.
+ *
+ * <p>This class has no state and is thread-safe.
+ */
+public final class PlanProgress {
+    private PlanProgress() {}
+
+    /**
+     * Returns the plan with the state of each step as the fleet shows it.
+     *
+     * @param plan the plan, not null
+     * @param view the fleet, not null
+     */
+    public static Plan derive(Plan plan, FleetView view) {
+        List<PlanStep> steps = new ArrayList<>();
+        for (PlanStep step : plan.steps()) {
+            Optional<HostRecord> found = view.record(step.worker());
+            StepState state =
+                    found.isPresent() ? stateOf(plan, step, found.get(), view) : StepState.FAILED;
+            steps.add(step.withState(state));
+        }
+        return plan.withSteps(steps);
+    }
+
+    private static StepState stateOf(
+            Plan plan, PlanStep step, HostRecord hostRecord, FleetView view) {
+        String reservedBy = view.ledger(step.fromPool()).outages().get(step.worker());
+        boolean reserved = plan.id().equals(reservedBy);
+        boolean touched = plan.id().equals(hostRecord.planId());
+        return switch (step.kind()) {
+            case DRAIN -> drain(hostRecord, touched, reserved);
+            case MAINTAIN -> maintain(hostRecord, touched, reserved);
+            case MOVE -> move(plan, step, hostRecord, touched, reserved);
+            case RESTORE -> restore(hostRecord, reservedBy != null);
+        };
+    }
+
+    private static StepState drain(HostRecord hostRecord, boolean touched, boolean reserved) {
+        if (!touched) {
+            return reserved ? StepState.RESERVED : StepState.PENDING;
+        }
+        return switch (hostRecord.state()) {
+            case DRAINING -> StepState.DRAINING;
+            case DRAINED -> StepState.DONE;
+            case REBOOTING -> StepState.REBOOTING;
+            case ACTIVE -> reserved ? StepState.RELEASING : StepState.CANCELLED;
+        };
+    }
+
+    private static StepState maintain(HostRecord hostRecord, boolean touched, boolean reserved) {
+        if (!touched) {
+            return reserved ? StepState.RESERVED : StepState.PENDING;
+        }
+        return switch (hostRecord.state()) {
+            case DRAINING -> StepState.DRAINING;
+            case DRAINED, REBOOTING -> StepState.REBOOTING;
+            case ACTIVE -> reserved ? StepState.RELEASING : StepState.DONE;
+        };
+    }
+
+    private static StepState move(
+            Plan plan, PlanStep step, HostRecord hostRecord, boolean touched, boolean reserved) {
+        if (hostRecord.pool().equals(step.toPool())) {
+            if (!touched) {
+                return StepState.PENDING;
+            }
+            return reserved ? StepState.RELEASING : StepState.DONE;
+        }
+        if (touched && hostRecord.state() == HostState.DRAINING) {
+            return StepState.DRAINING;
+        }
+        if (reserved) {
+            return StepState.RESERVED;
+        }
+        boolean movedOn = touched && hasLaterMove(plan, step);
+        return movedOn ? StepState.DONE : StepState.PENDING;
+    }
+
+    private static boolean hasLaterMove(Plan plan, PlanStep step) {
+        return plan.steps().stream()
+                .filter(other -> other.kind() == StepKind.MOVE)
+                .filter(other -> other.worker().equals(step.worker()))
+                .anyMatch(other -> other.stage() > step.stage());
+    }
+
+    private static StepState restore(HostRecord hostRecord, boolean inLedger) {
+        if (hostRecord.state() != HostState.ACTIVE) {
+            return StepState.PENDING;
+        }
+        return inLedger ? StepState.RELEASING : StepState.DONE;
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/endivetray/policy/SlotLedger.java
@@ -0,0 +1,264 @@
+package org.endivetray.policy;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Divides the slots of one service's minions between daemons.
+ *
+ * <p>Each daemon reports how many requests wait and what it holds of each minion. While nobody
+ * waits, free slots are spread evenly so that a request finds one without a message. When a daemon
+ * has requests waiting, slots that others do not use are taken back and granted to it; if all are
+ * in use, daemons are brought to equal shares of the demand.
+ *
+ * <p>A limit that is lowered stays committed until the holder reports that it has complied. A
+ * holder that has not reported for the time to live holds nothing any more.
+ *
+ * <p>Invariants: for each minion the committed slots of all holders never exceed its capacity,
+ * except by what holders reported to have already when this ledger was new.
+ *
+ * <p>This class is not thread-safe; the slot owner's thread owns it.
+ */
+public final class SlotLedger {
+    private final long mTtlNanos;
+    private final Map<String, Integer> mCapacity = new TreeMap<>();
+    private final Map<String, Holder> mHolders = new TreeMap<>();
+    private final long mCreatedNanos;
+    private Set<String> mUnheard = new HashSet<>();
+
+    /**
+     * Constructs a ledger that first learns what each expected daemon holds.
+     *
+     * @param ttlNanos time after which a silent holder's slots are free, in nanoseconds
+     * @param expected daemons that may hold slots already, not null
+     * @param nowNanos time on the monotonic clock, in nanoseconds
+     */
+    public SlotLedger(long ttlNanos, Collection<String> expected, long nowNanos) {
+        mTtlNanos = ttlNanos;
+        mCreatedNanos = nowNanos;
+        mUnheard.addAll(expected);
+    }
+
+    /**
+     * Replaces the minions and their capacities.
+     *
+     * @param capacity slots of each minion that accepts work, by address, not null
+     */
+    public void useCapacity(Map<String, Integer> capacity) {
+        mCapacity.clear();
+        mCapacity.putAll(capacity);
+    }
+
+    /**
+     * Takes in a daemon's report and divides the slots anew.
+     *
+     * @param daemon the reporting daemon's name, not null
+     * @param waiting number of requests that wait there for a slot
+     * @param cells what it holds of each minion, by address, not null
+     * @param appliedSeq sequence number of the last grant that it applied
+     * @param nowNanos time on the monotonic clock, in nanoseconds
+     * @return names of the other daemons whose limits changed
+     */
+    public Set<String> onReport(
+            String daemon, int waiting, Map<String, Cell> cells, long appliedSeq, long nowNanos) {
+        expire(nowNanos);
+        mUnheard.remove(daemon);
+        Holder holder = mHolders.computeIfAbsent(daemon, name -> new Holder());
+        holder.take(waiting, cells, appliedSeq, nowNanos);
+        Set<String> changed = rebalance(nowNanos);
+        changed.remove(daemon);
+        return changed;
+    }
+
+    /** Returns the limit of each minion granted to the daemon, by address. */
+    public Map<String, Integer> limitsOf(String daemon) {
+        Holder holder = mHolders.get(daemon);
+        return holder == null ? Map.of() : Map.copyOf(holder.mGranted);
+    }
+
+    /** Returns the sequence number of the daemon's last grant. */
+    public long grantSeqOf(String daemon) {
+        Holder holder = mHolders.get(daemon);
+        return holder == null ? 0 : holder.mGrantSeq;
+    }
+
+    /** Returns the slots of the minion that are granted or still held. */
+    public int committed(String minion) {
+        return mHolders.values().stream().mapToInt(holder -> holder.committed(minion)).sum();
+    }
+
+    /** Drops holders that have been silent for the time to live. */
+    public void expire(long nowNanos) {
+        mHolders.values().removeIf(holder -> nowNanos - holder.mReportedNanos > mTtlNanos);
+    }
+
+    private boolean mayRaise(long nowNanos) {
+        return mUnheard.isEmpty() || nowNanos - mCreatedNanos > mTtlNanos;
+    }
+
+    private Set<String> rebalance(long nowNanos) {
+        Map<String, Map<String, Integer>> before = new HashMap<>();
+        mHolders.forEach((name, holder) -> before.put(name, Map.copyOf(holder.mGranted)));
+        dropGoneMinions();
+        Map<String, Integer> targets = targets();
+        if (mHolders.values().stream().anyMatch(holder -> holder.mWaiting > 0)) {
+            mHolders.forEach((name, holder) -> holder.lowerTo(targets.get(name)));
+        }
+        if (mayRaise(nowNanos)) {
+            raise(targets);
+        }
+        Set<String> changed = new HashSet<>();
+        mHolders.forEach(
+                (name, holder) -> {
+                    if (!holder.mGranted.equals(before.get(name))) {
+                        holder.mGrantSeq++;
+                        changed.add(name);
+                    }
+                });
+        return changed;
+    }
+
+    private void dropGoneMinions() {
+        for (Holder holder : mHolders.values()) {
+            holder.mGranted.keySet().retainAll(mCapacity.keySet());
+        }
+    }
+
+    private Map<String, Integer> targets() {
+        int total = mCapacity.values().stream().mapToInt(Integer::intValue).sum();
+        Map<String, Integer> demand = new TreeMap<>();
+        mHolders.forEach((name, holder) -> demand.put(name, holder.demand()));
+        return MaxMinShare.divide(total, demand);
+    }
+
+    private void raise(Map<String, Integer> targets) {
+        Map<String, Integer> free = new TreeMap<>();
+        mCapacity.forEach((minion, slots) -> free.put(minion, slots - committed(minion)));
+        List<String> byNeed = new ArrayList<>(mHolders.keySet());
+        byNeed.sort(
+                Comparator.comparingInt(
+                        name -> mHolders.get(name).grantedTotal() - targets.get(name)));
+        boolean progress = true;
+        while (progress) {
+            progress = false;
+            for (String name : byNeed) {
+                progress |= mHolders.get(name).raiseByOne(targets.get(name), free);
+            }
+        }
+    }
+
+    /**
+     * What a daemon holds of one minion.
+     *
+     * <p>This class is immutable and thread-safe.
+     *
+     * @param limit highest number of requests in flight that it grants itself
+     * @param inFlight number of requests in flight
+     */
+    public record Cell(int limit, int inFlight) {
+        /** Returns the slots that the daemon may be using. */
+        public int held() {
+            return Math.max(limit, inFlight);
+        }
+    }
+
+    /** One daemon's side of the ledger. */
+    private static final class Holder {
+        private final Map<String, Integer> mGranted = new TreeMap<>();
+        private Map<String, Cell> mCells = Map.of();
+        private int mWaiting;
+        private long mReportedNanos;
+        private long mGrantSeq;
+        private boolean mAdopted;
+
+        void take(int waiting, Map<String, Cell> cells, long appliedSeq, long nowNanos) {
+            mWaiting = waiting;
+            mCells = Map.copyOf(cells);
+            mReportedNanos = nowNanos;
+            if (!mAdopted) {
+                mAdopted = true;
+                mGrantSeq = appliedSeq;
+                cells.forEach((minion, cell) -> mGranted.put(minion, cell.limit()));
+            }
+        }
+
+        int demand() {
+            return mWaiting + mCells.values().stream().mapToInt(Cell::inFlight).sum();
+        }
+
+        int committed(String minion) {
+            Cell cell = mCells.get(minion);
+            int held = cell == null ? 0 : cell.held();
+            return Math.max(held, mGranted.getOrDefault(minion, 0));
+        }
+
+        int grantedTotal() {
+            return mGranted.values().stream().mapToInt(Integer::intValue).sum();
+        }
+
+        /** Lowers limits to the target, idle slots first. */
+        void lowerTo(int target) {
+            int surplus = grantedTotal() - target;
+            surplus = lowerIdle(surplus);
+            lowerBusy(surplus);
+        }
+
+        private int lowerIdle(int surplus) {
+            int left = surplus;
+            for (Map.Entry<String, Integer> cell : mGranted.entrySet()) {
+                int idle = Math.max(0, cell.getValue() - inFlight(cell.getKey()));
+                int taken = Math.max(0, Math.min(left, idle));
+                cell.setValue(cell.getValue() - taken);
+                left -= taken;
+            }
+            return left;
+        }
+
+        private void lowerBusy(int surplus) {
+            int left = surplus;
+            for (Map.Entry<String, Integer> cell : mGranted.entrySet()) {
+                int taken = Math.max(0, Math.min(left, cell.getValue()));
+                cell.setValue(cell.getValue() - taken);
+                left -= taken;
+            }
+        }
+
+        private int inFlight(String minion) {
+            Cell cell = mCells.get(minion);
+            return cell == null ? 0 : cell.inFlight();
+        }
+
+        boolean raiseByOne(int target, Map<String, Integer> free) {
+            if (grantedTotal() >= target) {
+                return false;
+            }
+            String best = null;
+            for (Map.Entry<String, Integer> minion : free.entrySet()) {
+                boolean heldAnyway =
+                        committed(minion.getKey()) > mGranted.getOrDefault(minion.getKey(), 0);
+                if (heldAnyway) {
+                    best = minion.getKey();
+                    break;
+                }
+                if (minion.getValue() > 0 && (best == null || minion.getValue() > free.get(best))) {
+                    best = minion.getKey();
+                }
+            }
+            if (best == null) {
+                return false;
+            }
+            int before = committed(best);
+            mGranted.merge(best, 1, Integer::sum);
+            int used = committed(best) - before;
+            free.merge(best, -used, Integer::sum);
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/endivetray/policy/WaitQueue.java
@@ -0,0 +1,258 @@
+package org.endivetray.policy;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.function.Consumer;
+import org.endivetray.ResultCode;
+
+/**
+ * The bounded waiting list of one service.
+ *
+ * <p>Urgent entries go before patient ones, but one patient entry in every {@link #PATIENT_TURN}
+ * may pass so that none starves. Members share by weight; within a member the earliest deadline
+ * goes first.
+ *
+ * <p>Invariants: at most {@code maxService} entries wait in all and {@code maxMember} per member.
+ *
+ * <p>This class is not thread-safe; the router's thread owns it.
+ *
+ * @param <T> what waits
+ */
+public final class WaitQueue<T> {
+    /** Number of polls of which one serves a patient entry first. */
+    public static final int PATIENT_TURN = 10;
+
+    private final int mMaxService;
+    private final int mMaxMember;
+    private final Lane<T> mUrgent = new Lane<>();
+    private final Lane<T> mPatient = new Lane<>();
+    private final Map<String, Integer> mPerMember = new HashMap<>();
+    private long mPolls;
+
+    /**
+     * Constructs an empty waiting list.
+     *
+     * @param maxService highest number of waiting entries, 1 or more
+     * @param maxMember highest number of waiting entries of one member, 1 or more
+     */
+    public WaitQueue(int maxService, int maxMember) {
+        mMaxService = maxService;
+        mMaxMember = maxMember;
+    }
+
+    /** Returns the number of waiting entries. */
+    public int size() {
+        return mUrgent.mSize + mPatient.mSize;
+    }
+
+    /**
+     * Returns how many waiting entries go before a new entry of the class.
+     *
+     * @param urgent whether the new entry is urgent
+     */
+    public int ahead(boolean urgent) {
+        return urgent ? mUrgent.mSize : size();
+    }
+
+    /**
+     * Adds an entry, or returns why it may not wait.
+     *
+     * @param entry the entry, not null
+     * @return empty if the entry waits now
+     */
+    public Optional<ResultCode> offer(Entry<T> entry) {
+        int ofMember = mPerMember.getOrDefault(entry.mMember, 0);
+        if (size() >= mMaxService || ofMember >= mMaxMember) {
+            return Optional.of(ResultCode.QUEUE_FULL);
+        }
+        mPerMember.merge(entry.mMember, 1, Integer::sum);
+        lane(entry).add(entry);
+        return Optional.empty();
+    }
+
+    /** Removes and returns the entry whose turn it is, or empty if none waits. */
+    public Optional<Entry<T>> poll() {
+        boolean patientFirst = ++mPolls % PATIENT_TURN == 0;
+        Lane<T> first = patientFirst ? mPatient : mUrgent;
+        Lane<T> second = patientFirst ? mUrgent : mPatient;
+        Entry<T> entry = first.poll();
+        if (entry == null) {
+            entry = second.poll();
+        }
+        if (entry == null) {
+            return Optional.empty();
+        }
+        forget(entry);
+        return Optional.of(entry);
+    }
+
+    /** Puts back an entry that was polled but could not be sent; bounds do not apply. */
+    public void putBack(Entry<T> entry) {
+        mPerMember.merge(entry.mMember, 1, Integer::sum);
+        lane(entry).add(entry);
+    }
+
+    /**
+     * Removes an entry.
+     *
+     * @return whether the entry was waiting
+     */
+    public boolean remove(Entry<T> entry) {
+        boolean removed = lane(entry).remove(entry);
+        if (removed) {
+            forget(entry);
+        }
+        return removed;
+    }
+
+    /**
+     * Removes every entry whose deadline is before the given time.
+     *
+     * @param nanos time on the monotonic clock, in nanoseconds
+     * @param onExpired told of each removed entry, not null
+     */
+    public void expire(long nanos, Consumer<Entry<T>> onExpired) {
+        List<Entry<T>> expired = new ArrayList<>();
+        mUrgent.collectBefore(nanos, expired);
+        mPatient.collectBefore(nanos, expired);
+        expired.forEach(this::remove);
+        expired.forEach(onExpired);
+    }
+
+    private Lane<T> lane(Entry<T> entry) {
+        return entry.mUrgent ? mUrgent : mPatient;
+    }
+
+    private void forget(Entry<T> entry) {
+        mPerMember.computeIfPresent(
+                entry.mMember, (member, count) -> count == 1 ? null : count - 1);
+    }
+
+    /**
+     * One waiting item.
+     *
+     * <p>This class is immutable and thread-safe if the item is.
+     *
+     * @param <T> what waits
+     */
+    public static final class Entry<T> {
+        private final T mItem;
+        private final String mMember;
+        private final int mWeight;
+        private final boolean mUrgent;
+        private final long mDeadlineNanos;
+
+        /**
+         * Constructs an entry.
+         *
+         * @param item what waits, not null
+         * @param member the member on whose behalf it waits, not null
+         * @param weight the member's share, 1 or more
+         * @param urgent whether it goes before patient entries
+         * @param deadlineNanos deadline on the monotonic clock, in nanoseconds
+         */
+        public Entry(T item, String member, int weight, boolean urgent, long deadlineNanos) {
+            mItem = item;
+            mMember = member;
+            mWeight = Math.max(1, weight);
+            mUrgent = urgent;
+            mDeadlineNanos = deadlineNanos;
+        }
+
+        /** Returns what waits. */
+        public T item() {
+            return mItem;
+        }
+
+        /** Returns the member's name. */
+        public String member() {
+            return mMember;
+        }
+
+        /** Returns the deadline on the monotonic clock, in nanoseconds. */
+        public long deadlineNanos() {
+            return mDeadlineNanos;
+        }
+    }
+
+    /** The entries of one class, shared between members by virtual time. */
+    private static final class Lane<T> {
+        private final Map<String, MemberLine<T>> mLines = new HashMap<>();
+        private double mVirtualTime;
+        private int mSize;
+
+        void add(Entry<T> entry) {
+            MemberLine<T> line =
+                    mLines.computeIfAbsent(entry.mMember, name -> new MemberLine<>(mVirtualTime));
+            line.mEntries.add(entry);
+            mSize++;
+        }
+
+        Entry<T> poll() {
+            MemberLine<T> next = null;
+            for (MemberLine<T> line : mLines.values()) {
+                if (next == null || line.goesBefore(next)) {
+                    next = line;
+                }
+            }
+            if (next == null) {
+                return null;
+            }
+            Entry<T> entry = next.mEntries.poll();
+            mVirtualTime = next.mVirtualTime;
+            next.mVirtualTime += 1.0 / entry.mWeight;
+            dropIfEmpty(entry.mMember, next);
+            mSize--;
+            return entry;
+        }
+
+        boolean remove(Entry<T> entry) {
+            MemberLine<T> line = mLines.get(entry.mMember);
+            if (line == null || !line.mEntries.remove(entry)) {
+                return false;
+            }
+            dropIfEmpty(entry.mMember, line);
+            mSize--;
+            return true;
+        }
+
+        void collectBefore(long nanos, List<Entry<T>> into) {
+            for (MemberLine<T> line : mLines.values()) {
+                for (Entry<T> entry : line.mEntries) {
+                    if (entry.mDeadlineNanos - nanos < 0) {
+                        into.add(entry);
+                    }
+                }
+            }
+        }
+
+        private void dropIfEmpty(String member, MemberLine<T> line) {
+            if (line.mEntries.isEmpty()) {
+                mLines.remove(member);
+            }
+        }
+    }
+
+    /** The entries of one member in one class. */
+    private static final class MemberLine<T> {
+        private final PriorityQueue<Entry<T>> mEntries =
+                new PriorityQueue<>(Comparator.comparingLong(entry -> entry.mDeadlineNanos));
+        private double mVirtualTime;
+
+        MemberLine(double virtualTime) {
+            mVirtualTime = virtualTime;
+        }
+
+        boolean goesBefore(MemberLine<T> other) {
+            if (mVirtualTime != other.mVirtualTime) {
+                return mVirtualTime < other.mVirtualTime;
+            }
+            return mEntries.peek().mDeadlineNanos < other.mEntries.peek().mDeadlineNanos;
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/endivetray/policy/WavePacer.java
@@ -0,0 +1,63 @@
+package org.endivetray.policy;
+
+import java.util.List;
+import org.endivetray.PlanStep;
+import org.endivetray.StepKind;
+import org.endivetray.StepState;
+
+/**
+ * Paces the reboots of a wave: one worker first, then twice as many after each that came back.
+ *
+ * <p>Failures in a wave are correlated, so the wave halts when the first worker fails or when
+ * {@link #FAILURES_TO_HALT} workers and a tenth of those finished have failed.
+ *
+ * <p>This class has no state and is thread-safe.
+ */
+public final class WavePacer {
+    /** Number of failed workers from which a wave may halt. */
+    public static final int FAILURES_TO_HALT = 2;
+
+    private static final double FAILED_SHARE_TO_HALT = 0.1;
+    private static final int GROWTH = 3;
+
+    private WavePacer() {}
+
+    /**
+     * Returns how many more workers of the wave may be started now.
+     *
+     * @param steps the plan's steps, not null
+     */
+    public static int mayStart(List<PlanStep> steps) {
+        int done = count(steps, StepState.DONE);
+        int underWay = 0;
+        for (PlanStep step : steps) {
+            if (step.kind() == StepKind.MAINTAIN && step.state().isUnderWay()) {
+                underWay++;
+            }
+        }
+        int ceiling = done == 0 ? 1 : Math.max(2, done * GROWTH);
+        return Math.max(0, ceiling - underWay);
+    }
+
+    /**
+     * Returns whether failures must halt the wave.
+     *
+     * @param steps the plan's steps, not null
+     */
+    public static boolean mustHalt(List<PlanStep> steps) {
+        int failed = count(steps, StepState.FAILED);
+        int done = count(steps, StepState.DONE);
+        if (failed > 0 && done == 0) {
+            return true;
+        }
+        return failed >= FAILURES_TO_HALT && failed >= FAILED_SHARE_TO_HALT * (failed + done);
+    }
+
+    private static int count(List<PlanStep> steps, StepState state) {
+        return (int)
+                steps.stream()
+                        .filter(step -> step.kind() == StepKind.MAINTAIN)
+                        .filter(step -> step.state() == state)
+                        .count();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/endivetray/standin/MinionStandIn.java
@@ -0,0 +1,241 @@
+package org.endivetray.standin;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.endivetray.Json;
+import org.endivetray.ListedHost;
+import org.endivetray.MinionEndpoint;
+
+/**
+ * A stand-in of a site's minions, each on its own port, with faults and counts.
+ *
+ * <p>This class is thread-safe; its state belongs to one event loop.
+ */
+public final class MinionStandIn {
+    /** Requests that a minion runs at once. */
+    public static final int SLOTS = 8;
+
+    private final Vertx mVertx =
+            Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
+    private final Map<String, Minion> mMinions = new TreeMap<>();
+    private final Map<String, Integer> mRunsByKey = new HashMap<>();
+    private final long mWorkMillis;
+    private long mRuns;
+    private long mCancelled;
+
+    /**
+     * Constructs minions that have not been started.
+     *
+     * @param workMillis time that a request takes unless it names one, in milliseconds
+     */
+    public MinionStandIn(long workMillis) {
+        mWorkMillis = workMillis;
+    }
+
+    /** Starts a minion for each worker and service and returns their ports by name. */
+    public Future<Map<String, Integer>> start(List<ListedHost> hosts, List<String> services) {
+        List<Future<?>> started = new ArrayList<>();
+        Map<String, Integer> ports = new TreeMap<>();
+        for (ListedHost host : hosts) {
+            for (String service : services) {
+                Minion minion = new Minion(service);
+                String name = name(host.worker(), service);
+                mMinions.put(name, minion);
+                started.add(minion.start().onSuccess(port -> ports.put(name, port)));
+            }
+        }
+        return Future.all(started).map(ports);
+    }
+
+    /** Starts the port for faults and counts and returns it. */
+    public Future<Integer> startControl() {
+        return mVertx.createHttpServer()
+                .requestHandler(this::control)
+                .listen(0, "127.0.0.1")
+                .map(HttpServer::actualPort);
+    }
+
+    /** Stops listening. */
+    public Future<Void> stop() {
+        return mVertx.close();
+    }
+
+    /** Returns the name of the service's minion on the worker. */
+    public static String name(String worker, String service) {
+        return worker + "/" + service;
+    }
+
+    /** Finds endpoints from ports by name. */
+    public static HostTable.MinionAddresses addresses(Map<String, Integer> ports) {
+        return (worker, service) ->
+                new MinionEndpoint(service, "127.0.0.1", ports.get(name(worker, service)));
+    }
+
+    private void control(HttpServerRequest request) {
+        if (request.path().equals("/fault")) {
+            MinionFault fault = MinionFault.valueOf(request.getParam("kind"));
+            mMinions.forEach(
+                    (name, minion) -> {
+                        if (name.startsWith(request.getParam("worker", ""))) {
+                            minion.mFault = fault;
+                        }
+                    });
+            request.response().end();
+        } else {
+            request.response().end(stats().toString());
+        }
+    }
+
+    private ObjectNode stats() {
+        ObjectNode stats = Json.mapper().createObjectNode();
+        long now = System.nanoTime();
+        ObjectNode busy = stats.putObject("busySlotSeconds");
+        ObjectNode received = stats.putObject("receivedByWorker");
+        int maxActive = 0;
+        int maxConnections = 0;
+        long overLimit = 0;
+        Map<String, Double> byService = new TreeMap<>();
+        for (Map.Entry<String, Minion> entry : mMinions.entrySet()) {
+            Minion minion = entry.getValue();
+            minion.account(now);
+            byService.merge(minion.mService, minion.mBusyNanos / 1e9, Double::sum);
+            maxActive = Math.max(maxActive, minion.mMaxActive);
+            maxConnections = Math.max(maxConnections, minion.mMaxConnections);
+            overLimit += minion.mOverLimit;
+            String worker = entry.getKey().substring(0, entry.getKey().indexOf('/'));
+            received.put(worker, received.path(worker).asLong() + minion.mReceived);
+        }
+        byService.forEach(busy::put);
+        stats.put("runs", mRuns);
+        stats.put("cancelled", mCancelled);
+        stats.put("maxInFlight", maxActive);
+        stats.put("maxConnections", maxConnections);
+        stats.put("overLimit", overLimit);
+        stats.put("duplicated", mRunsByKey.values().stream().filter(runs -> runs > 1).count());
+        stats.put("keyedRuns", mRunsByKey.size());
+        return stats;
+    }
+
+    /** One minion. */
+    private final class Minion {
+        private final String mService;
+        private final HttpServer mServer =
+                mVertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
+        private MinionFault mFault = MinionFault.NONE;
+        private int mActive;
+        private int mMaxActive;
+        private int mConnections;
+        private int mMaxConnections;
+        private long mOverLimit;
+        private long mReceived;
+        private double mBusyNanos;
+        private long mAccountedNanos = System.nanoTime();
+
+        Minion(String service) {
+            mService = service;
+        }
+
+        Future<Integer> start() {
+            mServer.connectionHandler(
+                    connection -> {
+                        mConnections++;
+                        mMaxConnections = Math.max(mMaxConnections, mConnections);
+                        connection.closeHandler(ignored -> mConnections--);
+                    });
+            mServer.requestHandler(request -> request.body().onSuccess(body -> run(request)));
+            return mServer.listen(0, "127.0.0.1").map(HttpServer::actualPort);
+        }
+
+        void account(long now) {
+            mBusyNanos += (double) mActive * (now - mAccountedNanos);
+            mAccountedNanos = now;
+        }
+
+        private void run(HttpServerRequest request) {
+            mReceived++;
+            if (mFault == MinionFault.REFUSE || mActive >= SLOTS) {
+                mOverLimit += mFault == MinionFault.REFUSE ? 0 : 1;
+                request.response()
+                        .putHeader("X-Minion-Refused", "not-run")
+                        .setStatusCode(503)
+                        .end();
+                return;
+            }
+            changeActive(1);
+            mRuns++;
+            String key = request.getHeader("Idempotency-Key");
+            if (key != null) {
+                mRunsByKey.merge(key, 1, Integer::sum);
+            }
+            long work = Long.parseLong(request.getParam("work", Long.toString(mWorkMillis)));
+            boolean[] ended = {false};
+            long timer =
+                    mVertx.setTimer(
+                            Math.max(1, work),
+                            ignored -> {
+                                if (!ended[0] && mFault != MinionFault.STALL) {
+                                    ended[0] = true;
+                                    changeActive(-1);
+                                    answer(request);
+                                }
+                            });
+            request.response()
+                    .closeHandler(
+                            ignored -> {
+                                if (!ended[0]) {
+                                    ended[0] = true;
+                                    changeActive(-1);
+                                    mCancelled++;
+                                    mVertx.cancelTimer(timer);
+                                }
+                            });
+        }
+
+        private void changeActive(int by) {
+            account(System.nanoTime());
+            mActive += by;
+            mMaxActive = Math.max(mMaxActive, mActive);
+        }
+
+        private void answer(HttpServerRequest request) {
+            HttpServerResponse response = request.response();
+            String token = request.getParam("token", "none");
+            int bytes = Integer.parseInt(request.getParam("bytes", "0"));
+            String text = Answers.of(mService, token, bytes);
+            response.putHeader("X-Request-Id", String.valueOf(request.getHeader("X-Request-Id")));
+            response.putHeader("content-type", "text/plain");
+            switch (mFault) {
+                case FAIL -> response.setStatusCode(500).end("failed\n");
+                case TRUNCATE -> {
+                    response.putHeader("content-length", Integer.toString(text.length()));
+                    response.write(text.substring(0, text.length() / 2))
+                            .onComplete(ignored -> request.connection().close());
+                }
+                case CROSS -> {
+                    response.putHeader("X-Request-Id", "other");
+                    response.end(Answers.of(mService, "other", bytes));
+                }
+                case DROP -> request.connection().close();
+                case TRAIL ->
+                        response.end(Buffer.buffer(text)).onComplete(ignored -> trail(request));
+                default -> response.end(text);
+            }
+        }
+
+        private void trail(HttpServerRequest request) {
+            request.toNetSocket().onSuccess(socket -> socket.write("trailing bytes\r\n\r\n"));
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/endivetray/standin/TrySummary.java
@@ -0,0 +1,80 @@
+package org.endivetray.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.endivetray.Json;
+
+/**
+ * Sums up a run of {@code scripts/try} from the files that it left.
+ *
+ * <p>This class has no state and is thread-safe.
+ */
+final class TrySummary {
+    private static final int REQUESTS = 1_000;
+    private static final int DRAINED = 4;
+
+    private TrySummary() {}
+
+    /** Prints one JSON line and returns whether the run shows what it must. */
+    static boolean print(CommandLine line) throws IOException {
+        Path run = Path.of(line.getOptionValue("run"));
+        List<String> output = Files.readAllLines(run.resolve("callers.json"));
+        JsonNode callers = Json.mapper().readTree(output.get(output.size() - 1));
+        ObjectNode summary = Json.mapper().createObjectNode();
+        summary.set("requests", callers.path("offered"));
+        for (String name : List.of("answered", "notRun", "unknown", "wrong", "cut")) {
+            summary.set(name, callers.path(name));
+        }
+        summary.put("hostsDrained", drained(read(run, "hosts.json")));
+        summary.put("moves", moves(read(run, "plans.json")));
+        summary.put("budgetViolations", violations(read(run, "pools.json")));
+        summary.set("p50Ms", callers.path("p50Ms"));
+        summary.set("p99Ms", callers.path("p99Ms"));
+        summary.put("site", line.getOptionValue("site"));
+        summary.put("seed", line.getOptionValue("seed"));
+        System.out.println(summary);
+        return summary.path("answered").asInt() == REQUESTS
+                && summary.path("wrong").asInt() == 0
+                && summary.path("cut").asInt() == 0
+                && summary.path("budgetViolations").asInt() == 0
+                && summary.path("hostsDrained").asInt() == DRAINED;
+    }
+
+    private static JsonNode read(Path run, String name) throws IOException {
+        return Json.mapper().readTree(run.resolve(name).toFile());
+    }
+
+    private static int drained(JsonNode hosts) {
+        int drained = 0;
+        for (JsonNode host : hosts) {
+            drained += host.path("state").asText().equals("DRAINED") ? 1 : 0;
+        }
+        return drained;
+    }
+
+    private static int moves(JsonNode plans) {
+        int moves = 0;
+        for (JsonNode plan : plans) {
+            moves += plan.path("estimate").path("moves").asInt();
+        }
+        return moves;
+    }
+
+    private static int violations(JsonNode pools) {
+        int violations = 0;
+        for (JsonNode row : pools) {
+            JsonNode budget = row.path("pool").path("budget");
+            boolean belowFloor =
+                    row.path("available").asInt() < budget.path("floorWorkers").asInt();
+            boolean aboveCeiling =
+                    row.path("outages").size() > budget.path("maxPlannedOutages").asInt();
+            violations += belowFloor || aboveCeiling ? 1 : 0;
+        }
+        return violations;
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/endivetray/wire/FrameReader.java
@@ -0,0 +1,45 @@
+package org.endivetray.wire;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.function.Consumer;
+import org.endivetray.EndivetrayException;
+import org.endivetray.ResultCode;
+import org.endivetray.wire.gen.Envelope;
+
+/**
+ * Cuts a stream of bytes into messages.
+ *
+ * <p>Invariants: bytes of an incomplete frame are kept until the rest arrives.
+ *
+ * <p>This class is not thread-safe; its connection's event loop owns it.
+ */
+final class FrameReader {
+    private final Consumer<Envelope> mOnMessage;
+    private Buffer mPending = Buffer.buffer();
+
+    FrameReader(Consumer<Envelope> onMessage) {
+        mOnMessage = onMessage;
+    }
+
+    /** Takes in bytes and passes on each message that is complete. */
+    void onBytes(Buffer bytes) {
+        mPending.appendBuffer(bytes);
+        int at = 0;
+        while (mPending.length() - at >= InnerCodec.LENGTH_BYTES) {
+            int length = mPending.getInt(at);
+            if (length < 0 || length > InnerCodec.MAX_FRAME_BYTES) {
+                throw new EndivetrayException(
+                        ResultCode.INTERNAL, "frame length out of range: " + length);
+            }
+            int start = at + InnerCodec.LENGTH_BYTES;
+            if (mPending.length() - start < length) {
+                break;
+            }
+            at = start + length;
+            mOnMessage.accept(InnerCodec.decode(mPending.getBytes(start, at)));
+        }
+        if (at > 0) {
+            mPending = mPending.getBuffer(at, mPending.length());
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/endivetray/wire/InnerCodec.java
@@ -0,0 +1,59 @@
+package org.endivetray.wire;
+
+import io.vertx.core.buffer.Buffer;
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.endivetray.EndivetrayException;
+import org.endivetray.ResultCode;
+import org.endivetray.wire.gen.Envelope;
+
+/**
+ * Encodes messages between daemons as Thrift's compact protocol behind a four-byte length.
+ *
+ * <p>Invariants: a frame is at most {@link #MAX_FRAME_BYTES} long.
+ *
+ * <p>This class has no state and is thread-safe.
+ */
+public final class InnerCodec {
+    /** Longest frame without its length, in bytes. */
+    public static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
+
+    /** Length of the frame's length, in bytes. */
+    public static final int LENGTH_BYTES = 4;
+
+    private InnerCodec() {}
+
+    /**
+     * Returns the message as a frame.
+     *
+     * @param envelope the message, not null
+     */
+    public static Buffer encode(Envelope envelope) {
+        try {
+            byte[] bytes = new TSerializer(new TCompactProtocol.Factory()).serialize(envelope);
+            return Buffer.buffer(LENGTH_BYTES + bytes.length)
+                    .appendInt(bytes.length)
+                    .appendBytes(bytes);
+        } catch (TException e) {
+            throw new EndivetrayException(ResultCode.INTERNAL, "cannot encode a message", e);
+        }
+    }
+
+    /**
+     * Returns the message in a frame without its length.
+     *
+     * @param bytes the frame, not null
+     * @throws EndivetrayException with {@link ResultCode#INTERNAL} if it is not a message
+     */
+    public static Envelope decode(byte[] bytes) {
+        try {
+            Envelope envelope = new Envelope();
+            new TDeserializer(new TCompactProtocol.Factory()).deserialize(envelope, bytes);
+            return envelope;
+        } catch (TException e) {
+            throw new EndivetrayException(ResultCode.INTERNAL, "cannot decode a message", e);
+        }
+    }
+}
