Give back idle slots at once while requests wait elsewhere

Cause: a daemon without waiting requests reported once a second, so the owner took slots that had become free there for busy ones.

--- a/daemon/src/main/java/org/endivetray/daemon/request/RequestRouter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/RequestRouter.java
@@ -329,10 +329,11 @@
         } else {
             end(request, toResult(request, end, answer));
         }
-        if (minion.inFlight() >= minion.limit()) {
+        dispatch(service);
+        boolean overLimit = minion.inFlight() >= minion.limit() && service.queue().size() == 0;
+        if (overLimit || service.holdsWantedSlots()) {
             service.setReportDue();
         }
-        dispatch(service);
     }
 
     private Result toResult(RoutedRequest request, AttemptEnd end, MinionAnswer answer) {
--- a/daemon/src/main/java/org/endivetray/daemon/request/ServiceState.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/ServiceState.java
@@ -36,6 +36,7 @@
     private long mReportedNanos;
     private boolean mReporting;
     private boolean mReportDue;
+    private boolean mContended;
 
     ServiceState(ServiceDeclaration declaration, int maxService, int maxMember) {
         mDeclaration = declaration;
@@ -107,6 +108,11 @@
         return mReportDue;
     }
 
+    /** Returns whether slots that are free here are wanted by another daemon. */
+    boolean holdsWantedSlots() {
+        return mContended && mQueue.size() == 0 && slots() > inFlight();
+    }
+
     void setReportDue() {
         mReportDue = true;
     }
@@ -150,6 +156,7 @@
             return false;
         }
         mAppliedSeq = grant.getSeq();
+        mContended = grant.isContended();
         for (MinionState minion : mMinions.values()) {
             minion.setLimit(grant.getLimits().getOrDefault(minion.endpoint().address(), 0));
         }
--- a/daemon/src/main/java/org/endivetray/daemon/slots/SlotOwner.java
+++ b/daemon/src/main/java/org/endivetray/daemon/slots/SlotOwner.java
@@ -147,7 +147,8 @@
                 mIncarnation,
                 ledger.grantSeqOf(daemon),
                 TTL_MILLIS,
-                ledger.limitsOf(daemon));
+                ledger.limitsOf(daemon),
+                ledger.isContended());
     }
 
     private static Map<String, SlotLedger.Cell> toCells(SlotReport report) {
--- a/policy/src/main/java/org/endivetray/policy/SlotLedger.java
+++ b/policy/src/main/java/org/endivetray/policy/SlotLedger.java
@@ -106,6 +106,11 @@
         return mHolders.values().stream().mapToInt(holder -> holder.committed(minion)).sum();
     }
 
+    /** Returns whether requests wait for slots somewhere. */
+    public boolean isContended() {
+        return mHolders.values().stream().anyMatch(holder -> holder.mWaiting > 0);
+    }
+
     /** Drops holders that have been silent for the time to live. */
     public void expire(long nowNanos) {
         mHolders.values().removeIf(holder -> nowNanos - holder.mReportedNanos > mTtlNanos);
@@ -120,7 +125,7 @@
         mHolders.forEach((name, holder) -> before.put(name, Map.copyOf(holder.mGranted)));
         dropGoneMinions();
         Map<String, Integer> targets = targets();
-        if (mHolders.values().stream().anyMatch(holder -> holder.mWaiting > 0)) {
+        if (isContended()) {
             mHolders.forEach((name, holder) -> holder.lowerTo(targets.get(name)));
         }
         if (mayRaise(nowNanos)) {
--- a/wire/src/gen-java/org/endivetray/wire/gen/SlotGrant.java
+++ b/wire/src/gen-java/org/endivetray/wire/gen/SlotGrant.java
@@ -19,6 +19,7 @@
   private static final org.apache.thrift.protocol.TField SEQ_FIELD_DESC = new org.apache.thrift.protocol.TField("seq", org.apache.thrift.protocol.TType.I64, (short)4);
   private static final org.apache.thrift.protocol.TField TTL_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("ttlMillis", org.apache.thrift.protocol.TType.I32, (short)5);
   private static final org.apache.thrift.protocol.TField LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("limits", org.apache.thrift.protocol.TType.MAP, (short)6);
+  private static final org.apache.thrift.protocol.TField CONTENDED_FIELD_DESC = new org.apache.thrift.protocol.TField("contended", org.apache.thrift.protocol.TType.BOOL, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new SlotGrantStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new SlotGrantTupleSchemeFactory();
@@ -29,6 +30,7 @@
   private long seq; // required
   private int ttlMillis; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Integer> limits; // required
+  private boolean contended; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -37,7 +39,8 @@
     OWNER_INCARNATION((short)3, "ownerIncarnation"),
     SEQ((short)4, "seq"),
     TTL_MILLIS((short)5, "ttlMillis"),
-    LIMITS((short)6, "limits");
+    LIMITS((short)6, "limits"),
+    CONTENDED((short)7, "contended");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -65,6 +68,8 @@
           return TTL_MILLIS;
         case 6: // LIMITS
           return LIMITS;
+        case 7: // CONTENDED
+          return CONTENDED;
         default:
           return null;
       }
@@ -111,6 +116,7 @@
   private static final int __OWNERINCARNATION_ISSET_ID = 0;
   private static final int __SEQ_ISSET_ID = 1;
   private static final int __TTLMILLIS_ISSET_ID = 2;
+  private static final int __CONTENDED_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -129,6 +135,8 @@
         new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
+    tmpMap.put(_Fields.CONTENDED, new org.apache.thrift.meta_data.FieldMetaData("contended", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(SlotGrant.class, metaDataMap);
   }
@@ -142,7 +150,8 @@
     long ownerIncarnation,
     long seq,
     int ttlMillis,
-    java.util.Map<java.lang.String,java.lang.Integer> limits)
+    java.util.Map<java.lang.String,java.lang.Integer> limits,
+    boolean contended)
   {
     this();
     this.serviceName = serviceName;
@@ -154,6 +163,8 @@
     this.ttlMillis = ttlMillis;
     setTtlMillisIsSet(true);
     this.limits = limits;
+    this.contended = contended;
+    setContendedIsSet(true);
   }
 
   /**
@@ -174,6 +185,7 @@
       java.util.Map<java.lang.String,java.lang.Integer> __this__limits = new java.util.HashMap<java.lang.String,java.lang.Integer>(other.limits);
       this.limits = __this__limits;
     }
+    this.contended = other.contended;
   }
 
   @Override
@@ -192,6 +204,8 @@
     setTtlMillisIsSet(false);
     this.ttlMillis = 0;
     this.limits = null;
+    setContendedIsSet(false);
+    this.contended = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -349,6 +363,29 @@
     }
   }
 
+  public boolean isContended() {
+    return this.contended;
+  }
+
+  public SlotGrant setContended(boolean contended) {
+    this.contended = contended;
+    setContendedIsSet(true);
+    return this;
+  }
+
+  public void unsetContended() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CONTENDED_ISSET_ID);
+  }
+
+  /** Returns true if field contended is set (has been assigned a value) and false otherwise */
+  public boolean isSetContended() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CONTENDED_ISSET_ID);
+  }
+
+  public void setContendedIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CONTENDED_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -400,6 +437,14 @@
       }
       break;
 
+    case CONTENDED:
+      if (value == null) {
+        unsetContended();
+      } else {
+        setContended((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -425,6 +470,9 @@
     case LIMITS:
       return getLimits();
 
+    case CONTENDED:
+      return isContended();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -449,6 +497,8 @@
       return isSetTtlMillis();
     case LIMITS:
       return isSetLimits();
+    case CONTENDED:
+      return isSetContended();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -520,6 +570,15 @@
         return false;
     }
 
+    boolean this_present_contended = true;
+    boolean that_present_contended = true;
+    if (this_present_contended || that_present_contended) {
+      if (!(this_present_contended && that_present_contended))
+        return false;
+      if (this.contended != that.contended)
+        return false;
+    }
+
     return true;
   }
 
@@ -545,6 +604,8 @@
     if (isSetLimits())
       hashCode = hashCode * 8191 + limits.hashCode();
 
+    hashCode = hashCode * 8191 + ((contended) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -616,6 +677,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetContended(), other.isSetContended());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetContended()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.contended, other.contended);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -675,6 +746,10 @@
       sb.append(this.limits);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("contended:");
+    sb.append(this.contended);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -693,6 +768,7 @@
     if (limits == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'limits' was not present! Struct: " + toString());
     }
+    // alas, we cannot check 'contended' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -794,6 +870,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // CONTENDED
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.contended = iprot.readBool();
+              struct.setContendedIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -811,6 +895,9 @@
       if (!struct.isSetTtlMillis()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'ttlMillis' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetContended()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'contended' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -851,6 +938,9 @@
         }
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(CONTENDED_FIELD_DESC);
+      oprot.writeBool(struct.contended);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -882,6 +972,7 @@
           oprot.writeI32(_iter13.getValue());
         }
       }
+      oprot.writeBool(struct.contended);
     }
 
     @Override
@@ -910,6 +1001,8 @@
         }
       }
       struct.setLimitsIsSet(true);
+      struct.contended = iprot.readBool();
+      struct.setContendedIsSet(true);
     }
   }
 
--- a/wire/src/main/thrift/inner.thrift
+++ b/wire/src/main/thrift/inner.thrift
@@ -24,6 +24,7 @@
   4: required i64 seq
   5: required i32 ttlMillis
   6: required map<string, i32> limits
+  7: required bool contended
 }
 
 /** Liveness, configuration and drains of one daemon. */
