--- a/daemon/src/main/java/org/endivetray/daemon/request/RequestRouter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/RequestRouter.java
@@ -333,6 +333,7 @@
         boolean overLimit = minion.inFlight() >= minion.limit() && service.queue().size() == 0;
         if (overLimit || service.holdsWantedSlots()) {
             service.setReportDue();
+            mSlots.tick(service, now);
         }
     }
 
--- a/daemon/src/main/java/org/endivetray/daemon/request/SlotRequester.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/SlotRequester.java
@@ -24,7 +24,7 @@
 public final class SlotRequester {
     private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
     private static final long WAITING_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
-    private static final long DUE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+    private static final long DUE_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final Duty mDuty;
     private final Messages mMessages;
--- /dev/null
+++ b/policy/src/test/java/org/endivetray/policy/PlannerTest.java
@@ -0,0 +1,91 @@
+package org.endivetray.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.Set;
+import org.endivetray.AvailabilityBudget;
+import org.endivetray.EndivetrayException;
+import org.endivetray.Intent;
+import org.endivetray.IntentKind;
+import org.endivetray.Ledger;
+import org.junit.jupiter.api.Test;
+
+class PlannerTest {
+    private static FleetView fleet(int floor, int maxOutages, int spares) {
+        return new Fleets()
+                .pool(
+                        "ice",
+                        false,
+                        AvailabilityBudget.ofFloor(floor).withMaxPlannedOutages(maxOutages))
+                .pool("support", true, AvailabilityBudget.NONE)
+                .workers(6, "w", "ice")
+                .workers(spares, "s", "support")
+                .view();
+    }
+
+    @Test
+    void aRefusedDrainSaysWhichBudgetForbidsItAndWhatWouldAllowIt() {
+        assertThatThrownBy(
+                        () -> Planner.plan(fleet(6, 6, 0), Intent.of(IntentKind.DRAIN_RACK, "r1")))
+                .isInstanceOf(EndivetrayException.class)
+                .hasMessage(
+                        "pool ice: floor requires 6, would be 5; "
+                                + "allow it by lending 1 more workers or by a floor of 5");
+    }
+
+    @Test
+    void aCeilingOnOutagesIsNotMendedByLending() {
+        assertThatThrownBy(
+                        () -> Planner.plan(fleet(1, 0, 3), Intent.of(IntentKind.DRAIN_RACK, "r1")))
+                .hasMessageContaining("planned_outages requires 0, would be 1")
+                .hasMessageContaining("allow it by a ceiling of 1");
+    }
+
+    @Test
+    void aSpareIsLentBeforeTheDrainWhenTheFloorNeedsIt() {
+        PlanDraft draft = Planner.plan(fleet(6, 6, 3), Intent.of(IntentKind.DRAIN_WORKER, "w2"));
+        assertThat(draft.estimate().moves()).isEqualTo(1);
+        assertThat(draft.steps().get(0).toPool()).isEqualTo("ice");
+        assertThat(draft.steps().get(1).worker()).isEqualTo("w2");
+        assertThat(draft.steps().get(0).stage()).isLessThan(draft.steps().get(1).stage());
+    }
+
+    @Test
+    void aLoanOfMoreThanTheLenderCanMissIsRefused() {
+        assertThatThrownBy(() -> Planner.plan(fleet(1, 6, 2), Intent.ofLoan(3, "support", "ice")))
+                .hasMessage("pool 'support' can lend 2 workers within its budget: 3");
+    }
+
+    @Test
+    void unknownNamesAreRefusedWithTheName() {
+        assertThatThrownBy(() -> Planner.plan(fleet(1, 6, 2), Intent.ofLoan(1, "nowhere", "ice")))
+                .hasMessage("pool 'nowhere' does not exist");
+        assertThatThrownBy(
+                        () -> Planner.plan(fleet(1, 6, 2), Intent.of(IntentKind.DRAIN_RACK, "r99")))
+                .hasMessage("no worker is in rack 'r99'");
+    }
+
+    @Test
+    void aWorkerThatIsNotListedDoesNotCountAsAvailable() {
+        FleetView view =
+                new Fleets()
+                        .pool("ice", false, AvailabilityBudget.ofFloor(4))
+                        .workers(5, "w", "ice")
+                        .unlisted("w0")
+                        .view();
+        assertThat(view.available("ice")).hasSize(4);
+        assertThat(BudgetCheck.checkTakingOut(view, "ice", Set.of("w1"))).isPresent();
+    }
+
+    @Test
+    void anOutageInTheLedgerCountsAgainstTheNextPlan() {
+        FleetView view =
+                new Fleets()
+                        .pool("ice", false, AvailabilityBudget.ofFloor(4))
+                        .workers(5, "w", "ice")
+                        .ledger(Ledger.ofPool("ice").plusOutage("w3", "p-other"))
+                        .view();
+        assertThat(BudgetCheck.checkTakingOut(view, "ice", Set.of("w1"))).isPresent();
+    }
+}
--- a/standin/src/main/java/org/endivetray/standin/CallerMain.java
+++ b/standin/src/main/java/org/endivetray/standin/CallerMain.java
@@ -19,6 +19,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.apache.commons.cli.CommandLine;
 import org.endivetray.Json;
 
@@ -88,25 +89,31 @@
     }
 
     void run() throws Exception {
+        mVertx.runOnContext(ignored -> mCallers.startBalancer());
+        runPhase(() -> turn(0, number("warm", 0)));
+        forget();
         long cpuBefore = cpuTicks();
         long innerBefore = innerMessages();
+        runPhase(
+                () ->
+                        switch (mLine.getOptionValue("mode", "count")) {
+                            case "turns" -> turns();
+                            case "latency" -> latency();
+                            default -> count();
+                        });
+        print(cpuBefore, innerBefore);
+        System.exit(0);
+    }
+
+    /** Runs a load and waits until all its requests have ended. */
+    private void runPhase(Supplier<Future<Void>> load) throws InterruptedException {
         CountDownLatch ended = new CountDownLatch(1);
         mVertx.runOnContext(
-                ignored -> {
-                    mCallers.startBalancer();
-                    Future<Void> load =
-                            switch (mLine.getOptionValue("mode", "count")) {
-                                case "turns" -> turns();
-                                case "latency" -> latency();
-                                default -> count();
-                            };
-                    load.compose(done -> settle()).onComplete(done -> ended.countDown());
-                });
+                ignored ->
+                        load.get().compose(done -> settle()).onComplete(done -> ended.countDown()));
         if (!ended.await(number("seconds", 60) + 2 * SETTLE_SECONDS, TimeUnit.SECONDS)) {
             mTally.add("didNotEnd");
         }
-        print(cpuBefore, innerBefore);
-        System.exit(0);
     }
 
     // ---- loads
@@ -146,6 +153,13 @@
         return load;
     }
 
+    /** Leaves the turn on cold processes out of the readings. */
+    private void forget() {
+        mTally.clear();
+        mBusySeconds = 0;
+        mAvailableSeconds = 0;
+    }
+
     private Future<Void> turn(int peak, long turnMillis) {
         String service = mSite.services().get(peak);
         Promise<Void> ended = Promise.promise();
--- a/standin/src/main/java/org/endivetray/standin/Main.java
+++ b/standin/src/main/java/org/endivetray/standin/Main.java
@@ -72,7 +72,8 @@
                         "mode",
                         "direct",
                         "label",
-                        "run")) {
+                        "run",
+                        "warm")) {
             options.addOption(null, name, true, name);
         }
         return new DefaultParser().parse(options, args);
--- a/standin/src/main/java/org/endivetray/standin/Tally.java
+++ b/standin/src/main/java/org/endivetray/standin/Tally.java
@@ -23,6 +23,14 @@
         mCounts.merge(name, 1L, Long::sum);
     }
 
+    /** Forgets everything but what must never happen. */
+    void clear() {
+        mCounts.keySet().removeIf(name -> !name.equals("wrong") && !name.equals("cut"));
+        mCodes.clear();
+        mLatency.reset();
+        mDirect.reset();
+    }
+
     void addCode(String code) {
         mCodes.merge(code, 1L, Long::sum);
     }
