Prove requests and plans under faults of minions, store, daemons and links

Failed first: with the link between two daemons cut, a drain waited for ever, since the executor never heard the other end's acknowledgement (twoDaemonsThatCannotReachEachOther..., not DONE after 30 s). Ruled out: ownership (both ends named the same executor).

--- a/daemon/src/main/java/org/endivetray/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/Daemon.java
@@ -248,11 +248,7 @@
     }
 
     private Future<Void> closeAll() {
-        mSync.stop();
-        mExecutor.stop();
-        mFleet.stop();
-        mRouter.stop();
-        mSlotOwner.stop();
+        stopDuties();
         return Future.join(List.of(mCallers.stop(), mOperators.stop(), mMembership.stop()))
                 .otherwiseEmpty()
                 .onSuccess(
@@ -263,8 +259,22 @@
                 .mapEmpty();
     }
 
-    /** Ends the event loops of a daemon that has stopped; not called on one of them. */
-    public void closeLoops() {
+    private void stopDuties() {
+        mSync.stop();
+        mExecutor.stop();
+        mFleet.stop();
+        mRouter.stop();
+        mSlotOwner.stop();
+    }
+
+    /**
+     * Ends the threads of a daemon; not called on one of them.
+     *
+     * <p>For a daemon that has not been stopped this is like a kill: nothing in flight is finished.
+     */
+    public void end() {
+        stopDuties();
+        mMembership.end();
         mTraffic.close();
         mControl.close();
     }
--- a/daemon/src/main/java/org/endivetray/daemon/Main.java
+++ b/daemon/src/main/java/org/endivetray/daemon/Main.java
@@ -152,7 +152,7 @@
                     .toCompletionStage()
                     .toCompletableFuture()
                     .get(STOP_SECONDS, TimeUnit.SECONDS);
-            daemon.closeLoops();
+            daemon.end();
         } catch (ExecutionException | TimeoutException e) {
             System.err.println("endivetrayd: stop was not clean: " + e);
         } catch (InterruptedException e) {
--- a/daemon/src/main/java/org/endivetray/daemon/member/Membership.java
+++ b/daemon/src/main/java/org/endivetray/daemon/member/Membership.java
@@ -141,6 +141,11 @@
         return mServer.stop().compose(ignored -> mClient.close());
     }
 
+    /** Stops the thread and nothing else, as a kill does. */
+    public void end() {
+        mDuty.stop();
+    }
+
     /** Says in heartbeats that this daemon is about to leave. */
     public void markStopping() {
         mStopping = true;
@@ -163,10 +168,15 @@
                 mIncarnation,
                 mSettings.text(SettingKey.ZONE),
                 mSettings.text(SettingKey.INNER_HOST),
-                mPort,
+                advertisedPort(),
                 false);
     }
 
+    private int advertisedPort() {
+        int advertised = mSettings.number(SettingKey.INNER_ADVERTISED);
+        return advertised == 0 ? mPort : advertised;
+    }
+
     /** Returns the names of the live daemons, this one included. */
     public Set<String> live() {
         return mLive;
@@ -372,6 +382,9 @@
             if (unheard || peer.getKey().compareTo(mName) > 0) {
                 sendHeartbeat(peer.getKey(), peer.getValue().link());
             }
+            if (unheard) {
+                sendHeartbeatByRelay(peer.getKey());
+            }
         }
         if (mPeers.isEmpty()) {
             mSeeds.forEach(seed -> sendHeartbeat("", seed));
@@ -390,6 +403,30 @@
                         });
     }
 
+    /** Exchanges heartbeats with a peer that cannot be reached directly. */
+    private void sendHeartbeatByRelay(String daemon) {
+        Route route = route(daemon);
+        if (route.isDirect()) {
+            return;
+        }
+        mMetrics.onInnerMessage();
+        route.link()
+                .send(relayed(daemon, Body.heartbeat(ownHeartbeat())), MESSAGE_TIMEOUT_MILLIS)
+                .onSuccess(
+                        reply -> {
+                            if (reply.isSetHeartbeat()) {
+                                mDuty.submit(() -> onRelayed(daemon, reply.getHeartbeat()));
+                            }
+                        });
+    }
+
+    private void onRelayed(String daemon, Heartbeat heartbeat) {
+        PeerState peer = mPeers.get(daemon);
+        if (peer != null) {
+            peer.onRelayedHeartbeat(heartbeat);
+        }
+    }
+
     private Heartbeat ownHeartbeat() {
         StoppedWork stopped = mOwnStopped.get();
         Heartbeat heartbeat = new Heartbeat();
@@ -400,7 +437,7 @@
         heartbeat.setHears(List.copyOf(mDirect));
         heartbeat.setZone(mSettings.text(SettingKey.ZONE));
         heartbeat.setHost(mSettings.text(SettingKey.INNER_HOST));
-        heartbeat.setPort(mPort);
+        heartbeat.setPort(advertisedPort());
         return heartbeat;
     }
 
@@ -519,6 +556,11 @@
     private Future<Body> onRelay(Relay relay) {
         if (relay.getTarget().equals(mName)) {
             Envelope inner = InnerCodec.decode(relay.getPayload());
+            if (inner.getBody().isSetHeartbeat()) {
+                Heartbeat heartbeat = inner.getBody().getHeartbeat();
+                mDuty.submit(() -> onRelayed(inner.getSender(), heartbeat));
+                return Future.succeededFuture(Body.heartbeat(ownHeartbeat()));
+            }
             return onMessage(inner.getSender(), inner.getIncarnation(), inner.getBody());
         }
         return Future.fromCompletionStage(mDuty.call(() -> mPeers.get(relay.getTarget())))
--- a/daemon/src/main/java/org/endivetray/daemon/member/PeerState.java
+++ b/daemon/src/main/java/org/endivetray/daemon/member/PeerState.java
@@ -47,6 +47,12 @@
         mAbsent = false;
     }
 
+    /** Takes in a heartbeat that came through another peer, so that none was heard directly. */
+    void onRelayedHeartbeat(Heartbeat heartbeat) {
+        mHeartbeat = heartbeat;
+        mAbsent = false;
+    }
+
     /** Returns whether the peer was heard, or first seen, within the time. */
     boolean isFresh(long nowNanos, long withinNanos) {
         long since = mHeard ? mHeardNanos : mFirstSeenNanos;
--- a/daemon/src/main/java/org/endivetray/daemon/settings/SettingKey.java
+++ b/daemon/src/main/java/org/endivetray/daemon/settings/SettingKey.java
@@ -19,6 +19,13 @@
     OPERATORS_PORT("operators.port", 0, 65_535, 0, "port", "port for operators, 0 for any"),
     INNER_HOST("inner.host", "127.0.0.1", "IP number for other daemons"),
     INNER_PORT("inner.port", 0, 65_535, 0, "port", "port for other daemons, 0 for any"),
+    INNER_ADVERTISED(
+            "inner.advertisedPort",
+            0,
+            65_535,
+            0,
+            "port",
+            "port that other daemons connect to, 0 if it is inner.port"),
     INNER_PEERS("inner.peers", "", "host:port of other daemons, asked when the store is down"),
     STORE_HOST("platform.store.host", null, "IP number of the platform's store"),
     STORE_PORT("platform.store.port", 1, 65_535, null, "port", "port of the platform's store"),
--- /dev/null
+++ b/proof/src/test/java/org/endivetray/proof/FleetFaultsTest.java
@@ -0,0 +1,269 @@
+package org.endivetray.proof;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import org.endivetray.AvailabilityBudget;
+import org.endivetray.Intent;
+import org.endivetray.IntentKind;
+import org.endivetray.Member;
+import org.endivetray.Pool;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class FleetFaultsTest {
+    private TestSite mSite;
+    private BudgetMonitor mMonitor;
+
+    @BeforeEach
+    void startSite() {
+        mSite = TestSite.start(3);
+        mMonitor = new BudgetMonitor(mSite, "e1");
+    }
+
+    @AfterEach
+    void stopSite() {
+        mMonitor.stop();
+        mSite.close();
+    }
+
+    private JsonNode plan(String daemon, String id) {
+        return mSite.get(daemon, "/v1/plans/" + id);
+    }
+
+    private boolean isState(String daemon, String id, String state) {
+        return plan(daemon, id).path("state").asText().equals(state);
+    }
+
+    private String confirmed(String daemon, Intent intent) {
+        String id = mSite.propose(daemon, intent).path("id").asText();
+        assertThat(mSite.confirm(daemon, id).path("state").asText()).isEqualTo("RUNNING");
+        return id;
+    }
+
+    private long workersIn(String state) {
+        long count = 0;
+        for (JsonNode worker : mSite.get("e1", "/v1/workers")) {
+            count += worker.path("state").asText().equals(state) ? 1 : 0;
+        }
+        return count;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"NONE", "LOSE_ANSWERS", "SLOW", "DOWN"})
+    void aWaveOverARackEndsWithinTheBudgetsWhateverTheStoreDoes(String fault) {
+        String id = confirmed("e1", Intent.of(IntentKind.WAVE, "kochi-r1"));
+        mSite.platformFault("store?mode=" + fault + "&millis=150&count=6");
+        if (fault.equals("DOWN")) {
+            TestSite.pause(2_000);
+            mSite.platformFault("store?mode=NONE");
+        }
+        TestSite.waitFor(() -> isState("e2", id, "DONE"));
+        assertThat(workersIn("ACTIVE")).isEqualTo(36);
+        mMonitor.assertHeld();
+    }
+
+    @Test
+    void aPlanGoesOnWhenItsExecutorIsKilled() {
+        String id = confirmed("e1", Intent.of(IntentKind.WAVE, "charts"));
+        TestSite.waitFor(() -> !plan("e1", id).path("executor").asText().isEmpty());
+        String executor = plan("e1", id).path("executor").asText();
+        mMonitor.stop();
+        mSite.kill(executor);
+        String other = executor.equals("e1") ? "e2" : "e1";
+        BudgetMonitor monitor = new BudgetMonitor(mSite, other);
+        TestSite.waitFor(() -> isState(other, id, "DONE"));
+        monitor.stop();
+        monitor.assertHeld();
+        assertThat(plan(other, id).path("executor").asText()).isNotEqualTo(executor);
+    }
+
+    @Test
+    void ofTwoOperatorsWithConflictingPlansOneWinsAndTheOtherIsToldByWhom() {
+        String first =
+                mSite.propose("e1", Intent.of(IntentKind.DRAIN_RACK, "kochi-r2"))
+                        .path("id")
+                        .asText();
+        String second =
+                mSite.propose("e2", Intent.of(IntentKind.WAVE, "kochi-r2")).path("id").asText();
+        TestSite.waitFor(() -> plan("e1", second).has("id") && plan("e2", first).has("id"));
+        CompletableFuture<JsonNode> one =
+                CompletableFuture.supplyAsync(() -> mSite.confirm("e1", first));
+        CompletableFuture<JsonNode> other =
+                CompletableFuture.supplyAsync(() -> mSite.confirm("e2", second));
+        List<JsonNode> results = List.of(one.join(), other.join());
+        long won = results.stream().filter(result -> result.has("state")).count();
+        assertThat(won).isEqualTo(1);
+        JsonNode lost =
+                results.stream().filter(result -> !result.has("state")).findFirst().orElseThrow();
+        assertThat(lost.path("code").asInt()).isIn(2007, 4003, 2006);
+        JsonNode told = mSite.confirm("e1", one.join().has("state") ? second : first);
+        assertThat(told.path("code").asInt()).isIn(2007, 2006);
+        String winner = one.join().has("state") ? first : second;
+        TestSite.waitFor(() -> isState("e1", winner, "DONE"));
+        if (told.path("code").asInt() == 2007) {
+            assertThat(told.path("message").asText()).contains("of tester").contains("kochi-r2");
+        }
+        mMonitor.assertHeld();
+    }
+
+    @Test
+    void aPlanWhoseBasisChangedIsRefusedAndAFreshOneIsNamed() {
+        String stale =
+                mSite.propose("e1", Intent.of(IntentKind.DRAIN_RACK, "kochi-r2"))
+                        .path("id")
+                        .asText();
+        mSite.run("e1", Intent.of(IntentKind.DRAIN_WORKER, "kochi-w08"));
+        JsonNode refused = mSite.confirm("e1", stale);
+        assertThat(refused.path("code").asInt()).isEqualTo(2006);
+        String message = refused.path("message").asText();
+        String fresh = message.substring(message.lastIndexOf(' ') + 1);
+        assertThat(mSite.confirm("e1", fresh).path("state").asText()).isEqualTo("RUNNING");
+        TestSite.waitFor(() -> isState("e1", fresh, "DONE"));
+        assertThat(workersIn("DRAINED")).isEqualTo(4);
+    }
+
+    @Test
+    void aWaveHaltsWhenItsFirstWorkerDoesNotComeBackAndGoesOnWhenResumed() {
+        mSite.platformFault("reboot?worker=kochi-w04");
+        String id = confirmed("e1", Intent.of(IntentKind.WAVE, "kochi-r1"));
+        TestSite.waitFor(() -> isState("e1", id, "HALTED"));
+        assertThat(plan("e1", id).path("note").asText()).contains("kochi-w04");
+        assertThat(workersIn("ACTIVE")).isEqualTo(35);
+        mMonitor.assertHeld();
+    }
+
+    @Test
+    void aCancelledWaveLeavesEveryWorkerInASoundState() {
+        String id = confirmed("e1", Intent.of(IntentKind.WAVE, "all"));
+        TestSite.waitFor(() -> workersIn("REBOOTING") > 0);
+        mSite.post("e2", "/v1/plans/" + id + "/cancel", "");
+        TestSite.waitFor(() -> isState("e1", id, "CANCELLED"));
+        assertThat(workersIn("ACTIVE")).isEqualTo(36);
+        for (JsonNode pool : mSite.get("e1", "/v1/pools")) {
+            assertThat(pool.path("outages")).isEmpty();
+        }
+        mMonitor.assertHeld();
+    }
+
+    @Test
+    void lentWorkersServeTheBorrowingPoolAndAreInOnePoolAtEveryMoment() {
+        Intent loan = Intent.ofLoan(2, "support", "charts");
+        String id = confirmed("e1", loan);
+        TestSite.waitFor(() -> isState("e1", id, "DONE"));
+        assertThat(mSite.get("e1", "/v1/pools/charts").path("workers").asInt()).isEqualTo(8);
+        assertThat(mSite.get("e1", "/v1/pools/support").path("workers").asInt()).isEqualTo(4);
+        mMonitor.assertHeld();
+    }
+
+    @Test
+    void aDrainCutsNothingInFlightAndSendsNothingNew() {
+        CompletableFuture<TestSite.Answer> running =
+                CompletableFuture.supplyAsync(() -> longRequests());
+        TestSite.pause(300);
+        String id = confirmed("e2", Intent.of(IntentKind.DRAIN_RACK, "kochi-r0"));
+        TestSite.waitFor(() -> isState("e1", id, "DONE"));
+        assertThat(running.join().status()).isEqualTo(200);
+        long before = receivedInRack();
+        for (int i = 0; i < 60; i++) {
+            mSite.call("e" + (i % 3 + 1), "GET", "/s/charts/x?token=n", Map.of());
+        }
+        assertThat(receivedInRack()).isEqualTo(before);
+    }
+
+    private TestSite.Answer longRequests() {
+        List<CompletableFuture<TestSite.Answer>> sent = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            String daemon = "e" + (i % 3 + 1);
+            sent.add(
+                    CompletableFuture.supplyAsync(
+                            () ->
+                                    mSite.call(
+                                            daemon,
+                                            "POST",
+                                            "/s/charts/x?work=1200&token=n",
+                                            Map.of("X-Endivetray-Deadline-Millis", "4000"))));
+        }
+        List<TestSite.Answer> answers = sent.stream().map(CompletableFuture::join).toList();
+        assertThat(answers)
+                .allSatisfy(answer -> assertThat(answer.outcome()).isNotEqualTo("unknown"));
+        return answers.get(0);
+    }
+
+    private long receivedInRack() {
+        long received = 0;
+        for (int i = 0; i < 4; i++) {
+            received += mSite.minionStats().path("receivedByWorker").path("kochi-w0" + i).asLong();
+        }
+        return received;
+    }
+
+    @Test
+    void aLeavingHostGetsNoNewWorkWithinFiveSecondsOfTheList() {
+        mSite.platformFault("host?worker=kochi-w00&status=LEAVING");
+        TestSite.pause(5_000);
+        long before = receivedInRack();
+        for (int i = 0; i < 60; i++) {
+            mSite.call("e" + (i % 3 + 1), "GET", "/s/charts/x?token=n", Map.of());
+        }
+        assertThat(receivedInRack()).isEqualTo(before);
+    }
+
+    @Test
+    void anAcceptedBudgetIsInForceOnEveryDaemonAndDoesNotRevertInAnOutage() {
+        Pool pool = Pool.of("extra", AvailabilityBudget.ofFloor(0));
+        mSite.run(
+                "e1",
+                Intent.ofConfiguration(
+                        List.of(pool), List.of(new Member("newcomer", 2)), List.of(), Map.of()));
+        mSite.platformFault("store?mode=DOWN");
+        TestSite.waitFor(() -> !mSite.get("e1", "/v1/status").path("storeUp").asBoolean());
+        for (String daemon : List.of("e1", "e2", "e3")) {
+            TestSite.waitFor(() -> mSite.get(daemon, "/v1/pools/extra").path("pool").has("name"));
+            assertThat(
+                            mSite.call(
+                                            daemon,
+                                            "GET",
+                                            "/s/charts/x",
+                                            Map.of("X-Endivetray-Member", "newcomer"))
+                                    .status())
+                    .isEqualTo(200);
+        }
+    }
+
+    @Test
+    void aPlanProposedInAnOutageIsRefusedWithACodeAndNothingChanges() {
+        mSite.platformFault("store?mode=DOWN");
+        JsonNode refused = mSite.propose("e1", Intent.of(IntentKind.DRAIN_RACK, "kochi-r3"));
+        assertThat(refused.path("code").asInt()).isIn(4001, 4002);
+        assertThat(workersIn("ACTIVE")).isEqualTo(36);
+    }
+
+    @Test
+    void twoDaemonsThatCannotReachEachOtherGoOnWithinTheMinionsSlots() {
+        mSite.relay().cut("e1", "e2");
+        TestSite.pause(1_500);
+        Set<String> failed = new TreeSet<>();
+        for (int i = 0; i < 90; i++) {
+            TestSite.Answer answer =
+                    mSite.call("e" + (i % 3 + 1), "GET", "/s/charts/x?token=n", Map.of());
+            if (answer.status() != 200) {
+                failed.add(answer.body());
+            }
+        }
+        assertThat(failed).isEmpty();
+        assertThat(mSite.minionStats().path("maxInFlight").asInt()).isLessThanOrEqualTo(8);
+        assertThat(mSite.get("e1", "/v1/status").path("live").toString()).contains("e2");
+        String id = confirmed("e1", Intent.of(IntentKind.DRAIN_RACK, "kochi-r3"));
+        TestSite.waitFor(() -> isState("e2", id, "DONE"));
+    }
+}
