Keep a split between daemons within the minions' slots

Ruled out: messages through peers (nobody heard e3) and a stale owner (views were stable). Change: a daemon on the smaller side of a split, as told by the store's leases, uses a fixed share by itself; the owner on the larger side leaves that share free. Large files split: service table, routing log, member view, links and configuration exchange.

--- a/daemon/src/main/java/org/endivetray/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/Daemon.java
@@ -101,7 +101,7 @@
                         traffic,
                         settings,
                         mMetrics,
-                        new SlotMessages(mMembership),
+                        new SlotMessages(mMembership, isolatedShare()),
                         this::onPause);
         mCallers =
                 new CallerServer(
@@ -168,7 +168,9 @@
 
     private Future<Integer> startControl(int innerPort) {
         Records records = new Records(mStore, mView);
-        mSlotOwner = new SlotOwner(mMembership, mView, mSettings.number(SettingKey.SLOTS));
+        mSlotOwner =
+                new SlotOwner(
+                        mMembership, mView, mSettings.number(SettingKey.SLOTS), isolatedShare());
         mFleet = new FleetService(mView, records);
         mExecutor =
                 new PlanExecutor(
@@ -204,6 +206,12 @@
         return Future.succeededFuture(innerPort);
     }
 
+    /** Returns the slots of each minion that a daemon uses when it reaches no owner. */
+    private int isolatedShare() {
+        return Math.max(
+                1, mSettings.number(SettingKey.SLOTS) / mSettings.number(SettingKey.ENTRY_HOSTS));
+    }
+
     /** Lets the router send once the state and the host list are known. */
     private void releaseOnce() {
         boolean known = mView.snapshot().revision() > 0 && mView.snapshot().hasHosts();
@@ -289,12 +297,18 @@
     public record Ports(int callers, int operators, int inner) {}
 
     /** Carries slot reports over the membership. */
-    private record SlotMessages(Membership membership) implements SlotRequester.Messages {
+    private record SlotMessages(Membership membership, int isolatedShare)
+            implements SlotRequester.Messages {
         @Override
         public String ownerOf(String service) {
             return membership.owner(SlotOwner.OWNER_KEY + service);
         }
 
+        @Override
+        public boolean isIsolated() {
+            return membership.isMinority();
+        }
+
         @Override
         public Future<SlotGrant> report(String owner, SlotReport report) {
             return membership
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/member/ConfigExchange.java
@@ -0,0 +1,62 @@
+package org.endivetray.daemon.member;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.endivetray.daemon.state.Snapshot;
+import org.endivetray.daemon.state.StateView;
+import org.endivetray.platform.Versioned;
+import org.endivetray.wire.gen.Body;
+import org.endivetray.wire.gen.ConfigPull;
+import org.endivetray.wire.gen.ConfigPush;
+import org.endivetray.wire.gen.ConfigRecord;
+
+/**
+ * Passes stored records on between peers, so that a daemon without the store gets what others know.
+ *
+ * <p>Invariants: what is passed on is complete up to its revision.
+ *
+ * <p>This class is thread-safe.
+ */
+final class ConfigExchange {
+    private final StateView mView;
+
+    ConfigExchange(StateView view) {
+        mView = view;
+    }
+
+    /** Returns the message that asks for what this daemon has not seen. */
+    Body pull() {
+        return Body.configPull(new ConfigPull(mView.snapshot().revision()));
+    }
+
+    /** Returns the records that changed after the revision that the asking peer has seen. */
+    Body answer(ConfigPull pull) {
+        Snapshot snapshot = mView.snapshot();
+        List<ConfigRecord> records = new ArrayList<>();
+        for (Versioned value : snapshot.changedAfter(pull.getAfterRevision())) {
+            byte[] bytes = value.isPresent() ? value.value() : new byte[0];
+            records.add(
+                    new ConfigRecord(
+                            value.key(),
+                            value.version(),
+                            ByteBuffer.wrap(bytes),
+                            !value.isPresent()));
+        }
+        return Body.configPush(new ConfigPush(snapshot.revision(), records));
+    }
+
+    /** Takes in a peer's answer. */
+    void onReply(Body reply) {
+        if (!reply.isSetConfigPush()) {
+            return;
+        }
+        ConfigPush push = reply.getConfigPush();
+        List<Versioned> values = new ArrayList<>();
+        for (ConfigRecord pushed : push.getRecords()) {
+            byte[] value = pushed.isDeleted() ? null : pushed.getValue();
+            values.add(new Versioned(pushed.getKey(), pushed.getRevision(), value));
+        }
+        mView.onValues(values, push.getRevision());
+    }
+}
--- a/daemon/src/main/java/org/endivetray/daemon/member/Membership.java
+++ b/daemon/src/main/java/org/endivetray/daemon/member/Membership.java
@@ -2,8 +2,6 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.net.NetClient;
-import io.vertx.core.net.NetClientOptions;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
@@ -14,9 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.endivetray.EndivetrayException;
 import org.endivetray.ResultCode;
@@ -27,16 +23,12 @@
 import org.endivetray.daemon.state.Registration;
 import org.endivetray.daemon.state.Snapshot;
 import org.endivetray.daemon.state.StateView;
-import org.endivetray.platform.Versioned;
 import org.endivetray.policy.Rendezvous;
 import org.endivetray.wire.InnerCodec;
 import org.endivetray.wire.InnerHandler;
 import org.endivetray.wire.InnerPeer;
 import org.endivetray.wire.InnerServer;
 import org.endivetray.wire.gen.Body;
-import org.endivetray.wire.gen.ConfigPull;
-import org.endivetray.wire.gen.ConfigPush;
-import org.endivetray.wire.gen.ConfigRecord;
 import org.endivetray.wire.gen.Envelope;
 import org.endivetray.wire.gen.Heartbeat;
 import org.endivetray.wire.gen.Relay;
@@ -64,23 +56,17 @@
     private final Settings mSettings;
     private final StateView mView;
     private final Metrics mMetrics;
-    private final Vertx mVertx;
     private final String mName;
     private final long mIncarnation;
-    private final NetClient mClient;
     private final InnerServer mServer;
     private final Duty mDuty;
     private final Map<String, PeerState> mPeers = new TreeMap<>();
-    private final List<InnerPeer> mSeeds = new ArrayList<>();
-    private final AtomicLong mSentBytes = new AtomicLong();
+    private final PeerLinks mLinks;
     private final long mHeartbeatNanos;
     private final long mSuspectNanos;
     private final long mGoneNanos;
-    private volatile Set<String> mLive;
-    private volatile Map<String, StoppedWork> mStoppedByPeer = Map.of();
-    private volatile Map<String, Long> mRevisions = Map.of();
-    private volatile Set<String> mPresent;
-    private volatile Set<String> mDirect = Set.of();
+    private final ConfigExchange mExchange;
+    private volatile MemberView mMembers;
     private volatile Supplier<StoppedWork> mOwnStopped = () -> StoppedWork.NONE;
     private volatile InnerHandler mApplication =
             (sender, incarnation, body) -> Future.failedFuture("not ready");
@@ -100,15 +86,12 @@
      */
     public Membership(
             Vertx vertx, Settings settings, StateView view, Metrics metrics, long incarnation) {
-        mVertx = vertx;
         mSettings = settings;
         mView = view;
         mMetrics = metrics;
         mName = settings.text(SettingKey.NAME);
         mIncarnation = incarnation;
-        mClient =
-                vertx.createNetClient(
-                        new NetClientOptions().setTcpNoDelay(true).setConnectTimeout(500));
+        mLinks = new PeerLinks(vertx, settings, incarnation);
         mServer = new InnerServer(vertx, mName, incarnation, this::onMessage);
         mDuty = new Duty("membership", RING_ENTRIES, TICK_MILLIS, this::tick);
         mHeartbeatNanos = TimeUnit.MILLISECONDS.toNanos(settings.number(SettingKey.HEARTBEAT));
@@ -117,8 +100,8 @@
                 TimeUnit.MILLISECONDS.toNanos(
                         settings.number(SettingKey.LEASE)
                                 + settings.number(SettingKey.MAX_DEADLINE));
-        mLive = Set.of(mName);
-        mPresent = Set.of(mName);
+        mExchange = new ConfigExchange(view);
+        mMembers = MemberView.ofSelf(mName);
     }
 
     /** Starts to listen and to send heartbeats. */
@@ -129,7 +112,6 @@
                 .onSuccess(
                         port -> {
                             mPort = port;
-                            addSeeds();
                             mView.listen(snapshot -> mDuty.submit(() -> onSnapshot(snapshot)));
                             mDuty.start();
                         });
@@ -138,7 +120,7 @@
     /** Stops heartbeats and closes connections. */
     public Future<Void> stop() {
         mDuty.stop();
-        return mServer.stop().compose(ignored -> mClient.close());
+        return mServer.stop().compose(ignored -> mLinks.stop());
     }
 
     /** Stops the thread and nothing else, as a kill does. */
@@ -179,30 +161,40 @@
 
     /** Returns the names of the live daemons, this one included. */
     public Set<String> live() {
-        return mLive;
+        return mMembers.live();
     }
 
     /** Returns the names of the daemons that may still have requests in flight. */
     public Set<String> present() {
-        return mPresent;
+        return mMembers.present();
+    }
+
+    /** Returns whether this daemon is on the smaller side of a split between daemons. */
+    public boolean isMinority() {
+        return mMembers.isMinority();
+    }
+
+    /** Returns the number of daemons that live but cannot be reached. */
+    public int unheard() {
+        return mMembers.unheard().size();
     }
 
     /** Returns the live daemon that owns the key. */
     public String owner(String key) {
-        return Rendezvous.owner(key, mLive).orElse(mName);
+        return Rendezvous.owner(key, mMembers.live()).orElse(mName);
     }
 
     /** Returns the configuration revision that each live daemon has in force. */
     public Map<String, Long> revisions() {
-        Map<String, Long> revisions = new TreeMap<>(mRevisions);
-        revisions.keySet().retainAll(mLive);
+        Map<String, Long> revisions = new TreeMap<>(mMembers.revisions());
+        revisions.keySet().retainAll(mMembers.live());
         revisions.put(mName, mView.snapshot().revision());
         return revisions;
     }
 
     /** Returns the bytes sent to peers. */
     public long sentBytes() {
-        return mSentBytes.get();
+        return mLinks.sentBytes();
     }
 
     /**
@@ -213,11 +205,11 @@
      */
     public List<String> notIdle(String worker, long epoch) {
         List<String> missing = new ArrayList<>();
-        for (String daemon : mPresent) {
+        for (String daemon : mMembers.present()) {
             StoppedWork stopped =
                     daemon.equals(mName)
                             ? mOwnStopped.get()
-                            : mStoppedByPeer.getOrDefault(daemon, StoppedWork.NONE);
+                            : mMembers.stopped().getOrDefault(daemon, StoppedWork.NONE);
             if (!stopped.isIdle(worker, epoch)) {
                 missing.add(daemon);
             }
@@ -256,21 +248,14 @@
     }
 
     private List<InnerPeer> links() {
-        List<InnerPeer> links = new ArrayList<>(mSeeds);
+        List<InnerPeer> links = new ArrayList<>(mLinks.seeds());
         mPeers.values().forEach(peer -> links.add(peer.link()));
         return links;
     }
 
     private Body relayed(String daemon, Body body) {
         Envelope envelope = new Envelope(0, false, mName, mIncarnation, body);
-        return Body.relay(new Relay(daemon, ByteBuffer.wrap(payload(envelope))));
-    }
-
-    private static byte[] payload(Envelope envelope) {
-        byte[] frame = InnerCodec.encode(envelope).getBytes();
-        byte[] payload = new byte[frame.length - InnerCodec.LENGTH_BYTES];
-        System.arraycopy(frame, InnerCodec.LENGTH_BYTES, payload, 0, payload.length);
-        return payload;
+        return Body.relay(new Relay(daemon, ByteBuffer.wrap(InnerCodec.payload(envelope))));
     }
 
     private Route route(String daemon) {
@@ -294,21 +279,6 @@
         return new Route(peer.link(), true);
     }
 
-    private void addSeeds() {
-        for (String seed : mSettings.text(SettingKey.INNER_PEERS).split(",")) {
-            int colon = seed.lastIndexOf(':');
-            if (colon > 0) {
-                String host = seed.substring(0, colon).trim();
-                int port = Integer.parseInt(seed.substring(colon + 1).trim());
-                mSeeds.add(newLink(host, port));
-            }
-        }
-    }
-
-    private InnerPeer newLink(String host, int port) {
-        return new InnerPeer(mVertx, mClient, mName, mIncarnation, host, port, mSentBytes);
-    }
-
     private void onSnapshot(Snapshot snapshot) {
         Set<String> stored = new HashSet<>();
         for (Registration registration : snapshot.daemons()) {
@@ -353,7 +323,7 @@
         if (known != null) {
             known.link().stop();
         }
-        InnerPeer link = newLink(registration.innerHost(), registration.innerPort());
+        InnerPeer link = mLinks.open(registration.innerHost(), registration.innerPort());
         mPeers.put(registration.name(), new PeerState(registration, link, System.nanoTime()));
         LOGGER.log(
                 Level.INFO,
@@ -387,7 +357,7 @@
             }
         }
         if (mPeers.isEmpty()) {
-            mSeeds.forEach(seed -> sendHeartbeat("", seed));
+            mLinks.seeds().forEach(seed -> sendHeartbeat("", seed));
         }
     }
 
@@ -434,7 +404,7 @@
         heartbeat.setStopping(mStopping);
         heartbeat.setStoppedWorkers(stopped.epochs());
         heartbeat.setInFlightOfStopped(stopped.inFlight());
-        heartbeat.setHears(List.copyOf(mDirect));
+        heartbeat.setHears(List.copyOf(mMembers.direct()));
         heartbeat.setZone(mSettings.text(SettingKey.ZONE));
         heartbeat.setHost(mSettings.text(SettingKey.INNER_HOST));
         heartbeat.setPort(advertisedPort());
@@ -450,53 +420,19 @@
 
     private void publish(long now) {
         Snapshot snapshot = mView.snapshot();
-        Set<String> directly = new TreeSet<>();
-        Set<String> live = new TreeSet<>();
-        Set<String> present = new TreeSet<>();
-        Map<String, StoppedWork> stopped = new TreeMap<>();
-        Map<String, Long> revisions = new TreeMap<>();
-        live.add(mName);
-        present.add(mName);
-        for (Map.Entry<String, PeerState> entry : mPeers.entrySet()) {
-            PeerState peer = entry.getValue();
-            boolean fresh = peer.isFresh(now, mSuspectNanos);
-            peer.markAbsent(!fresh && !snapshot.isAlive(peer.registration()), now);
-            if (!peer.isGone(now, mGoneNanos)) {
-                present.add(entry.getKey());
-            }
-            if (fresh) {
-                directly.add(entry.getKey());
-            }
-            if (peer.heartbeat() != null) {
-                Heartbeat last = peer.heartbeat();
-                stopped.put(
-                        entry.getKey(),
-                        new StoppedWork(last.getStoppedWorkers(), last.getInFlightOfStopped()));
-                revisions.put(entry.getKey(), last.getConfigRevision());
-            }
-        }
-        live.addAll(directly);
-        live.addAll(heardByPeers(now));
-        if (!live.equals(mLive)) {
-            LOGGER.log(Level.INFO, () -> "member: live daemons changed live=" + live);
-        }
-        mStoppedByPeer = stopped;
-        mRevisions = revisions;
-        mPresent = present;
-        mLive = Set.copyOf(live);
-        mDirect = Set.copyOf(directly);
-    }
-
-    /** Returns daemons that this one does not hear but a peer hears directly. */
-    private Set<String> heardByPeers(long now) {
-        Set<String> names = new TreeSet<>();
+        Set<String> leased = new HashSet<>();
         for (PeerState peer : mPeers.values()) {
-            if (peer.isHeard(now, mSuspectNanos)) {
-                names.addAll(peer.heartbeat().getHears());
+            boolean alive = snapshot.isAlive(peer.registration());
+            if (alive) {
+                leased.add(peer.registration().name());
             }
+            peer.markAbsent(!peer.isFresh(now, mSuspectNanos) && !alive, now);
         }
-        names.retainAll(mPeers.keySet());
-        return names;
+        MemberView next = MemberView.of(mName, mPeers, leased, now, mSuspectNanos, mGoneNanos);
+        if (!next.live().equals(mMembers.live())) {
+            LOGGER.log(Level.INFO, () -> "member: live daemons changed live=" + next.live());
+        }
+        mMembers = next;
     }
 
     private void pullIfBehind(long now) {
@@ -515,37 +451,19 @@
     }
 
     private Future<Void> pull(InnerPeer link) {
-        Body body = Body.configPull(new ConfigPull(mView.snapshot().revision()));
         mMetrics.onInnerMessage();
-        return link.send(body, MESSAGE_TIMEOUT_MILLIS)
-                .onSuccess(
-                        reply -> {
-                            if (reply.isSetConfigPush()) {
-                                onPush(reply.getConfigPush());
-                            }
-                        })
+        return link.send(mExchange.pull(), MESSAGE_TIMEOUT_MILLIS)
+                .onSuccess(mExchange::onReply)
                 .mapEmpty();
     }
 
-    private void onPush(ConfigPush push) {
-        List<Versioned> values = new ArrayList<>();
-        for (ConfigRecord pushed : push.getRecords()) {
-            values.add(
-                    new Versioned(
-                            pushed.getKey(),
-                            pushed.getRevision(),
-                            pushed.isDeleted() ? null : pushed.getValue()));
-        }
-        mView.onValues(values, push.getRevision());
-    }
-
     private Future<Body> onMessage(String sender, long incarnation, Body body) {
         if (body.isSetHeartbeat()) {
             mDuty.submit(() -> onPeerHeartbeat(sender, incarnation, body.getHeartbeat()));
             return Future.succeededFuture(Body.heartbeat(ownHeartbeat()));
         }
         if (body.isSetConfigPull()) {
-            return Future.succeededFuture(answerPull(body.getConfigPull()));
+            return Future.succeededFuture(mExchange.answer(body.getConfigPull()));
         }
         if (body.isSetRelay()) {
             return onRelay(body.getRelay());
@@ -587,21 +505,6 @@
         }
     }
 
-    private Body answerPull(ConfigPull pull) {
-        Snapshot snapshot = mView.snapshot();
-        List<ConfigRecord> records = new ArrayList<>();
-        for (Versioned value : snapshot.changedAfter(pull.getAfterRevision())) {
-            byte[] bytes = value.isPresent() ? value.value() : new byte[0];
-            records.add(
-                    new ConfigRecord(
-                            value.key(),
-                            value.version(),
-                            ByteBuffer.wrap(bytes),
-                            !value.isPresent()));
-        }
-        return Body.configPush(new ConfigPush(snapshot.revision(), records));
-    }
-
     /**
      * How a message reaches a daemon.
      *
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/member/PeerLinks.java
@@ -0,0 +1,66 @@
+package org.endivetray.daemon.member;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import org.endivetray.daemon.settings.SettingKey;
+import org.endivetray.daemon.settings.Settings;
+import org.endivetray.wire.InnerPeer;
+
+/**
+ * Opens connections to other daemons and counts the bytes sent over them.
+ *
+ * <p>This class is thread-safe.
+ */
+final class PeerLinks {
+    private static final int CONNECT_MILLIS = 500;
+
+    private final Vertx mVertx;
+    private final NetClient mClient;
+    private final String mName;
+    private final long mIncarnation;
+    private final AtomicLong mSentBytes = new AtomicLong();
+    private final List<InnerPeer> mSeeds = new ArrayList<>();
+
+    PeerLinks(Vertx vertx, Settings settings, long incarnation) {
+        mVertx = vertx;
+        mClient =
+                vertx.createNetClient(
+                        new NetClientOptions()
+                                .setTcpNoDelay(true)
+                                .setConnectTimeout(CONNECT_MILLIS));
+        mName = settings.text(SettingKey.NAME);
+        mIncarnation = incarnation;
+        for (String seed : settings.text(SettingKey.INNER_PEERS).split(",")) {
+            int colon = seed.lastIndexOf(':');
+            if (colon > 0) {
+                mSeeds.add(
+                        open(
+                                seed.substring(0, colon).trim(),
+                                Integer.parseInt(seed.substring(colon + 1).trim())));
+            }
+        }
+    }
+
+    /** Returns a link to the address, which connects when it is first used. */
+    InnerPeer open(String host, int port) {
+        return new InnerPeer(mVertx, mClient, mName, mIncarnation, host, port, mSentBytes);
+    }
+
+    /** Returns links to the addresses in the settings, asked when no peer is known. */
+    List<InnerPeer> seeds() {
+        return mSeeds;
+    }
+
+    long sentBytes() {
+        return mSentBytes.get();
+    }
+
+    Future<Void> stop() {
+        return mClient.close();
+    }
+}
--- a/daemon/src/main/java/org/endivetray/daemon/request/RequestRouter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/RequestRouter.java
@@ -9,20 +9,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
-import org.endivetray.HostRecord;
-import org.endivetray.ListedHost;
-import org.endivetray.MinionEndpoint;
 import org.endivetray.ResultCode;
-import org.endivetray.ServiceDeclaration;
 import org.endivetray.daemon.duty.Duty;
 import org.endivetray.daemon.member.StoppedWork;
 import org.endivetray.daemon.observe.Metrics;
 import org.endivetray.daemon.settings.SettingKey;
 import org.endivetray.daemon.settings.Settings;
 import org.endivetray.daemon.state.Snapshot;
-import org.endivetray.policy.FleetView;
 import org.endivetray.policy.MinionChooser;
 import org.endivetray.policy.WaitQueue;
 
@@ -60,14 +54,11 @@
     private final MinionChooser mChooser;
     private final SlotRequester mSlots;
     private final Runnable mOnPause;
-    private final boolean mLogDecisions;
-    private final String mZone;
+    private final RouteLog mLog;
     private final Duty mDuty;
-    private final Map<String, ServiceState> mServices = new HashMap<>();
-    private volatile StoppedWork mStopped = StoppedWork.NONE;
+    private final ServiceTable mServices;
     private volatile boolean mHeld = true;
     private volatile int mOpen;
-    private Map<String, Long> mStoppedEpochs = Map.of();
     private long mLastTickNanos = System.nanoTime();
     private long mLastTrimNanos;
     private long mLastGaugeNanos;
@@ -95,8 +86,8 @@
         mPolicy = RoutingPolicy.ofName(settings.text(SettingKey.POLICY));
         mChooser = new MinionChooser(settings.number(SettingKey.SEED));
         mOnPause = onPause;
-        mLogDecisions = settings.number(SettingKey.LOG_DECISIONS) == 1;
-        mZone = settings.text(SettingKey.ZONE);
+        mLog = new RouteLog(settings.number(SettingKey.LOG_DECISIONS) == 1);
+        mServices = new ServiceTable(settings, mPolicy);
         mDuty = new Duty("router", RING_ENTRIES, TICK_MILLIS, this::tick);
         mSlots = new SlotRequester(mDuty, slotMessages, this::dispatch, mPolicy);
     }
@@ -113,7 +104,7 @@
 
     /** Returns which workers get no new work, and what is in flight there. */
     public StoppedWork stopped() {
-        return mStopped;
+        return mServices.stopped();
     }
 
     /** Returns the number of requests that have no result yet. */
@@ -136,7 +127,7 @@
         mDuty.submit(
                 () -> {
                     mHeld = false;
-                    mServices.values().forEach(this::dispatch);
+                    mServices.all().forEach(this::dispatch);
                 });
     }
 
@@ -252,9 +243,7 @@
             ServiceState service, RoutedRequest request, MinionState minion, long nowNanos) {
         minion.onSent();
         long until = untilNanos(service, request, nowNanos);
-        if (mLogDecisions) {
-            logSent(request, minion);
-        }
+        mLog.sent(request, minion);
         MinionClient.Attempt attempt =
                 mClient.send(
                         request,
@@ -268,27 +257,6 @@
         request.onSent(minion, attempt, nowNanos);
     }
 
-    private void logSent(RoutedRequest request, MinionState minion) {
-        LOGGER.log(
-                Level.INFO,
-                "route: sent request="
-                        + request.id()
-                        + " service="
-                        + request.service()
-                        + " member="
-                        + request.member()
-                        + " minion="
-                        + minion.endpoint().address()
-                        + " worker="
-                        + minion.worker()
-                        + " slots="
-                        + minion.inFlight()
-                        + "/"
-                        + minion.limit()
-                        + " attempt="
-                        + (request.attempts() + 1));
-    }
-
     /** Returns the time until which one minion may take; less if another could still be tried. */
     private long untilNanos(ServiceState service, RoutedRequest request, long nowNanos) {
         long left = request.deadlineNanos() - nowNanos;
@@ -311,7 +279,7 @@
         minion.onEnded();
         request.onAttemptEnded();
         recordHealth(service, minion, end, answer, now);
-        publishStoppedIf(minion);
+        mServices.onAttemptEnded(minion);
         if (end.isAnswered()) {
             service.onAnswered(now - request.sentNanos());
         }
@@ -374,11 +342,7 @@
 
     private void retry(ServiceState service, RoutedRequest request, AttemptEnd end) {
         mMetrics.onRetry(request.service());
-        if (mLogDecisions) {
-            LOGGER.log(
-                    Level.INFO,
-                    () -> "route: sent again request=" + request.id() + " after=" + end);
-        }
+        mLog.sentAgain(request, end);
         service.queue().putBack(request.entry());
     }
 
@@ -395,15 +359,7 @@
             minion.health().onNeutral();
         } else if (minion.health().onFailure(service.mayEject(), nowNanos)) {
             mMetrics.onEjection(service.declaration().name());
-            LOGGER.log(
-                    Level.WARNING,
-                    () ->
-                            "route: minion left out service="
-                                    + service.declaration().name()
-                                    + " minion="
-                                    + minion.endpoint().address()
-                                    + " reason="
-                                    + end);
+            mLog.leftOut(service, minion, end);
         }
     }
 
@@ -433,21 +389,7 @@
         request.onEnded();
         mOpen--;
         mMetrics.onResult(request.service(), code, System.nanoTime() - request.receivedNanos());
-        if (mLogDecisions && code != ResultCode.ANSWERED) {
-            LOGGER.log(
-                    Level.INFO,
-                    () ->
-                            "route: ended request="
-                                    + request.id()
-                                    + " service="
-                                    + request.service()
-                                    + " code="
-                                    + code.number()
-                                    + " outcome="
-                                    + code.outcome().label()
-                                    + " reason="
-                                    + code);
-        }
+        mLog.ended(request, code);
         return true;
     }
 
@@ -459,7 +401,7 @@
             mOnPause.run();
         }
         mLastTickNanos = now;
-        for (ServiceState service : mServices.values()) {
+        for (ServiceState service : mServices.all()) {
             service.queue()
                     .expire(
                             now,
@@ -482,7 +424,7 @@
         }
         mLastTrimNanos = now;
         Map<String, Integer> keep = new HashMap<>();
-        for (ServiceState service : mServices.values()) {
+        for (ServiceState service : mServices.all()) {
             service.minions()
                     .forEach((address, minion) -> keep.merge(address, minion.limit(), Math::max));
         }
@@ -494,102 +436,19 @@
             return;
         }
         mLastGaugeNanos = now;
-        mServices.forEach(
-                (name, service) ->
-                        mMetrics.onSlots(
-                                name, service.slots(), service.inFlight(), service.queue().size()));
+        mServices
+                .all()
+                .forEach(
+                        service ->
+                                mMetrics.onSlots(
+                                        service.declaration().name(),
+                                        service.slots(),
+                                        service.inFlight(),
+                                        service.queue().size()));
     }
 
     private void useSnapshot(Snapshot snapshot) {
-        Map<String, Map<String, MinionState>> found = findMinions(snapshot);
-        for (ServiceDeclaration declaration : snapshot.services()) {
-            ServiceState service =
-                    mServices.computeIfAbsent(
-                            declaration.name(),
-                            name ->
-                                    new ServiceState(
-                                            declaration,
-                                            mSettings.number(SettingKey.WAITING_SERVICE),
-                                            mSettings.number(SettingKey.WAITING_MEMBER)));
-            service.setDeclaration(declaration);
-        }
-        mServices.forEach((name, service) -> merge(service, found.getOrDefault(name, Map.of())));
-        mStoppedEpochs = stoppedEpochs(snapshot.fleet());
-        publishStopped();
-        mServices.values().forEach(this::dispatch);
-    }
-
-    private static Map<String, Long> stoppedEpochs(FleetView fleet) {
-        Map<String, Long> epochs = new TreeMap<>();
-        for (HostRecord hostRecord : fleet.records()) {
-            if (!hostRecord.state().acceptsNewWork() && !hostRecord.state().isIdle()) {
-                epochs.put(hostRecord.worker(), hostRecord.epoch());
-            }
-        }
-        return epochs;
-    }
-
-    private Map<String, Map<String, MinionState>> findMinions(Snapshot snapshot) {
-        Map<String, Map<String, MinionState>> found = new HashMap<>();
-        for (ListedHost host : snapshot.fleet().listedHosts()) {
-            boolean accepts =
-                    host.status().isAvailable()
-                            && snapshot.fleet()
-                                    .record(host.worker())
-                                    .filter(known -> known.state().acceptsNewWork())
-                                    .isPresent();
-            for (MinionEndpoint endpoint : host.minions()) {
-                MinionState minion =
-                        new MinionState(endpoint, host.worker(), host.zone().equals(mZone));
-                minion.setAcceptsNewWork(accepts);
-                found.computeIfAbsent(endpoint.service(), name -> new HashMap<>())
-                        .put(endpoint.address(), minion);
-            }
-        }
-        return found;
-    }
-
-    private void merge(ServiceState service, Map<String, MinionState> found) {
-        int fixed =
-                mPolicy.fixedLimit(
-                        mSettings.number(SettingKey.SLOTS),
-                        mSettings.number(SettingKey.CONNECTIONS),
-                        mSettings.number(SettingKey.ENTRY_HOSTS));
-        service.minions().values().forEach(minion -> minion.setAcceptsNewWork(false));
-        found.forEach(
-                (address, minion) -> {
-                    MinionState known =
-                            service.minions().computeIfAbsent(address, unknown -> minion);
-                    known.setAcceptsNewWork(minion.acceptsNewWork());
-                    if (fixed != RoutingPolicy.NO_FIXED_LIMIT) {
-                        known.setLimit(fixed);
-                    }
-                });
-        service.minions()
-                .values()
-                .removeIf(
-                        minion ->
-                                !found.containsKey(minion.endpoint().address())
-                                        && minion.inFlight() == 0);
-        service.setReportDue();
-    }
-
-    private void publishStoppedIf(MinionState minion) {
-        if (mStoppedEpochs.containsKey(minion.worker())) {
-            publishStopped();
-        }
-    }
-
-    private void publishStopped() {
-        Map<String, Integer> inFlight = new TreeMap<>();
-        mStoppedEpochs.keySet().forEach(worker -> inFlight.put(worker, 0));
-        for (ServiceState service : mServices.values()) {
-            for (MinionState minion : service.minions().values()) {
-                if (inFlight.containsKey(minion.worker())) {
-                    inFlight.merge(minion.worker(), minion.inFlight(), Integer::sum);
-                }
-            }
-        }
-        mStopped = new StoppedWork(mStoppedEpochs, inFlight);
+        mServices.useSnapshot(snapshot);
+        mServices.all().forEach(this::dispatch);
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/request/RouteLog.java
@@ -0,0 +1,79 @@
+package org.endivetray.daemon.request;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import org.endivetray.ResultCode;
+
+/**
+ * Writes one line for each routing decision.
+ *
+ * <p>This class is thread-safe.
+ */
+final class RouteLog {
+    private static final Logger LOGGER = System.getLogger(RouteLog.class.getName());
+
+    private final boolean mEnabled;
+
+    RouteLog(boolean enabled) {
+        mEnabled = enabled && LOGGER.isLoggable(Level.INFO);
+    }
+
+    void sent(RoutedRequest request, MinionState minion) {
+        if (!mEnabled) {
+            return;
+        }
+        LOGGER.log(
+                Level.INFO,
+                "route: sent"
+                        + subject(request)
+                        + " member="
+                        + request.member()
+                        + " minion="
+                        + minion.endpoint().address()
+                        + " worker="
+                        + minion.worker()
+                        + " slots="
+                        + minion.inFlight()
+                        + "/"
+                        + minion.limit()
+                        + " attempt="
+                        + (request.attempts() + 1));
+    }
+
+    void sentAgain(RoutedRequest request, AttemptEnd after) {
+        if (mEnabled) {
+            LOGGER.log(Level.INFO, "route: sent again" + subject(request) + " reason=" + after);
+        }
+    }
+
+    void ended(RoutedRequest request, ResultCode code) {
+        if (!mEnabled || code == ResultCode.ANSWERED) {
+            return;
+        }
+        LOGGER.log(
+                Level.INFO,
+                "route: ended"
+                        + subject(request)
+                        + " code="
+                        + code.number()
+                        + " outcome="
+                        + code.outcome().label()
+                        + " reason="
+                        + code);
+    }
+
+    void leftOut(ServiceState service, MinionState minion, AttemptEnd after) {
+        LOGGER.log(
+                Level.WARNING,
+                "route: minion left out service="
+                        + service.declaration().name()
+                        + " minion="
+                        + minion.endpoint().address()
+                        + " reason="
+                        + after);
+    }
+
+    private static String subject(RoutedRequest request) {
+        return " request=" + request.id() + " service=" + request.service();
+    }
+}
--- a/daemon/src/main/java/org/endivetray/daemon/request/ServiceState.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/ServiceState.java
@@ -163,6 +163,14 @@
         return true;
     }
 
+    /** Uses a fixed share of each minion, and obeys no owner until the next report. */
+    void useIsolatedShare(int share, long untilNanos) {
+        mOwner = "";
+        mAppliedSeq = 0;
+        mLimitsUntilNanos = untilNanos;
+        mMinions.values().forEach(minion -> minion.setLimit(share));
+    }
+
     void holdLimitsUntil(long nanos) {
         mLimitsUntilNanos = nanos;
     }
--- a/daemon/src/main/java/org/endivetray/daemon/request/SlotRequester.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/SlotRequester.java
@@ -52,7 +52,7 @@
     /** Reports at once if the last report is not just under way. */
     void onStarved(ServiceState service) {
         long now = System.nanoTime();
-        if (mGranted && !service.isReporting()) {
+        if (mGranted && !service.isReporting() && !mMessages.isIsolated()) {
             if (now - service.reportedNanos() >= WAITING_NANOS) {
                 report(service, now);
             }
@@ -65,6 +65,10 @@
             return;
         }
         mByName.put(service.declaration().name(), service);
+        if (mMessages.isIsolated()) {
+            service.useIsolatedShare(mMessages.isolatedShare(), nowNanos + IDLE_NANOS);
+            return;
+        }
         service.expireLimits(nowNanos);
         long since = nowNanos - service.reportedNanos();
         boolean due = service.isReportDue() && since >= DUE_NANOS;
@@ -112,6 +116,12 @@
         /** Returns the daemon that owns the service's slots. */
         String ownerOf(String service);
 
+        /** Returns whether no owner can be reached, so that only a fixed share may be used. */
+        boolean isIsolated();
+
+        /** Returns the slots of each minion that may be used without an owner. */
+        int isolatedShare();
+
         /**
          * Sends a report.
          *
--- a/daemon/src/main/java/org/endivetray/daemon/slots/SlotOwner.java
+++ b/daemon/src/main/java/org/endivetray/daemon/slots/SlotOwner.java
@@ -6,13 +6,12 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
-import org.endivetray.HostRecord;
 import org.endivetray.ListedHost;
 import org.endivetray.MinionEndpoint;
 import org.endivetray.daemon.duty.Duty;
 import org.endivetray.daemon.member.Membership;
+import org.endivetray.daemon.state.Snapshot;
 import org.endivetray.daemon.state.StateView;
-import org.endivetray.policy.FleetView;
 import org.endivetray.policy.SlotLedger;
 import org.endivetray.wire.gen.Body;
 import org.endivetray.wire.gen.SlotCell;
@@ -25,6 +24,10 @@
  * <p>A ledger is kept for a service while this daemon owns it and is begun anew when it becomes the
  * owner; it then first learns what each daemon holds.
  *
+ * <p>When daemons are split so that none of one side reaches the other, each daemon of the smaller
+ * side uses a fixed share by itself, and the owner on the larger side leaves that share free for
+ * it.
+ *
  * <p>Invariants: a report for a service that this daemon does not own is refused.
  *
  * <p>This class is thread-safe; its ledgers belong to its own thread.
@@ -44,6 +47,7 @@
     private final String mName;
     private final long mIncarnation;
     private final int mSlotsPerMinion;
+    private final int mIsolatedShare;
     private final Duty mDuty;
     private final Map<String, SlotLedger> mLedgers = new TreeMap<>();
 
@@ -53,13 +57,15 @@
      * @param membership carries messages, not null
      * @param view the stored state, not null
      * @param slotsPerMinion requests that a minion runs at once
+     * @param isolatedShare slots of each minion that an unreachable daemon uses by itself
      */
-    public SlotOwner(Membership membership, StateView view, int slotsPerMinion) {
+    public SlotOwner(Membership membership, StateView view, int slotsPerMinion, int isolatedShare) {
         mMembership = membership;
         mView = view;
         mName = membership.self().name();
         mIncarnation = membership.self().incarnation();
         mSlotsPerMinion = slotsPerMinion;
+        mIsolatedShare = isolatedShare;
         mDuty = new Duty("slots", RING_ENTRIES, TICK_MILLIS, this::dropForeignLedgers);
     }
 
@@ -85,7 +91,7 @@
 
     private Body grantFor(String daemon, SlotReport report) {
         String service = report.getServiceName();
-        if (!isOwner(service)) {
+        if (!isOwner(service) || mMembership.isMinority()) {
             return Body.failure("not the owner of " + service);
         }
         long now = System.nanoTime();
@@ -170,20 +176,15 @@
 
     private Map<String, Integer> capacityOf(String service) {
         Map<String, Integer> capacity = new TreeMap<>();
-        FleetView fleet = mView.snapshot().fleet();
-        for (ListedHost host : fleet.listedHosts()) {
-            boolean serves =
-                    host.status().isAvailable()
-                            && fleet.record(host.worker())
-                                    .map(HostRecord::state)
-                                    .filter(state -> state.acceptsNewWork())
-                                    .isPresent();
-            if (!serves) {
+        int slots = Math.max(0, mSlotsPerMinion - mMembership.unheard() * mIsolatedShare);
+        Snapshot snapshot = mView.snapshot();
+        for (ListedHost host : snapshot.fleet().listedHosts()) {
+            if (!snapshot.acceptsNewWork(host)) {
                 continue;
             }
             for (MinionEndpoint minion : host.minions()) {
                 if (minion.service().equals(service)) {
-                    capacity.put(minion.address(), mSlotsPerMinion);
+                    capacity.put(minion.address(), slots);
                 }
             }
         }
--- a/daemon/src/main/java/org/endivetray/daemon/state/Snapshot.java
+++ b/daemon/src/main/java/org/endivetray/daemon/state/Snapshot.java
@@ -69,6 +69,14 @@
         return mFleet;
     }
 
+    /** Returns whether requests may be sent to minions on the host. */
+    public boolean acceptsNewWork(ListedHost host) {
+        return host.status().isAvailable()
+                && mFleet.record(host.worker())
+                        .filter(known -> known.state().acceptsNewWork())
+                        .isPresent();
+    }
+
     /** Returns the declaration of the service, or empty. */
     public Optional<ServiceDeclaration> service(String name) {
         return Optional.ofNullable(mServices.get(name));
--- a/policy/src/main/java/org/endivetray/policy/SlotLedger.java
+++ b/policy/src/main/java/org/endivetray/policy/SlotLedger.java
@@ -124,6 +124,7 @@
         Map<String, Map<String, Integer>> before = new HashMap<>();
         mHolders.forEach((name, holder) -> before.put(name, Map.copyOf(holder.mGranted)));
         dropGoneMinions();
+        mCapacity.forEach(this::lowerToCapacity);
         Map<String, Integer> targets = targets();
         if (isContended()) {
             mHolders.forEach((name, holder) -> holder.lowerTo(targets.get(name)));
@@ -148,6 +149,24 @@
         }
     }
 
+    private int granted(String minion) {
+        return mHolders.values().stream()
+                .mapToInt(holder -> holder.mGranted.getOrDefault(minion, 0))
+                .sum();
+    }
+
+    /** Lowers grants of a minion whose capacity has fallen, idle slots first. */
+    private void lowerToCapacity(String minion, int slots) {
+        int granted = granted(minion);
+        int surplus = granted - slots;
+        for (Holder holder : mHolders.values()) {
+            surplus -= holder.lowerCell(minion, surplus, true);
+        }
+        for (Holder holder : mHolders.values()) {
+            surplus -= holder.lowerCell(minion, surplus, false);
+        }
+    }
+
     private Map<String, Integer> targets() {
         int total = mCapacity.values().stream().mapToInt(Integer::intValue).sum();
         Map<String, Integer> demand = new TreeMap<>();
@@ -156,8 +175,12 @@
     }
 
     private void raise(Map<String, Integer> targets) {
-        Map<String, Integer> free = new TreeMap<>();
-        mCapacity.forEach((minion, slots) -> free.put(minion, slots - committed(minion)));
+        Map<String, Room> rooms = new TreeMap<>();
+        mCapacity.forEach(
+                (minion, slots) ->
+                        rooms.put(
+                                minion,
+                                new Room(slots - committed(minion), slots - granted(minion))));
         List<String> byNeed = new ArrayList<>(mHolders.keySet());
         byNeed.sort(
                 Comparator.comparingInt(
@@ -166,7 +189,7 @@
         while (progress) {
             progress = false;
             for (String name : byNeed) {
-                progress |= mHolders.get(name).raiseByOne(targets.get(name), free);
+                progress |= mHolders.get(name).raiseByOne(targets.get(name), rooms);
             }
         }
     }
@@ -262,24 +285,39 @@
             }
         }
 
+        /** Lowers the grant of one minion and returns by how much. */
+        int lowerCell(String minion, int surplus, boolean idleOnly) {
+            int granted = mGranted.getOrDefault(minion, 0);
+            int spared = idleOnly ? Math.min(granted, inFlight(minion)) : 0;
+            int taken = Math.max(0, Math.min(surplus, granted - spared));
+            if (taken > 0) {
+                mGranted.put(minion, granted - taken);
+            }
+            return taken;
+        }
+
         private int inFlight(String minion) {
             Cell cell = mCells.get(minion);
             return cell == null ? 0 : cell.inFlight();
         }
 
-        boolean raiseByOne(int target, Map<String, Integer> free) {
+        /** Raises the grant of the minion with most room by one, and returns whether it did. */
+        boolean raiseByOne(int target, Map<String, Room> rooms) {
             if (grantedTotal() >= target) {
                 return false;
             }
             String best = null;
-            for (Map.Entry<String, Integer> minion : free.entrySet()) {
-                boolean heldAnyway =
-                        committed(minion.getKey()) > mGranted.getOrDefault(minion.getKey(), 0);
-                if (heldAnyway) {
+            for (Map.Entry<String, Room> minion : rooms.entrySet()) {
+                Room room = minion.getValue();
+                if (room.mGrantable <= 0) {
+                    continue;
+                }
+                if (isHeldAnyway(minion.getKey())) {
                     best = minion.getKey();
                     break;
                 }
-                if (minion.getValue() > 0 && (best == null || minion.getValue() > free.get(best))) {
+                boolean most = best == null || room.mFree > rooms.get(best).mFree;
+                if (room.mFree > 0 && most) {
                     best = minion.getKey();
                 }
             }
@@ -288,9 +326,25 @@
             }
             int before = committed(best);
             mGranted.merge(best, 1, Integer::sum);
-            int used = committed(best) - before;
-            free.merge(best, -used, Integer::sum);
+            rooms.get(best).mFree -= committed(best) - before;
+            rooms.get(best).mGrantable--;
             return true;
         }
+
+        /** Returns whether the daemon may be using more of the minion than it is granted. */
+        private boolean isHeldAnyway(String minion) {
+            return committed(minion) > mGranted.getOrDefault(minion, 0);
+        }
+    }
+
+    /** What can still be granted of one minion. */
+    private static final class Room {
+        private int mFree;
+        private int mGrantable;
+
+        Room(int free, int grantable) {
+            mFree = free;
+            mGrantable = grantable;
+        }
     }
 }
--- a/policy/src/test/java/org/endivetray/policy/SlotLedgerProperties.java
+++ b/policy/src/test/java/org/endivetray/policy/SlotLedgerProperties.java
@@ -45,6 +45,24 @@
         assertThat(granted).isEqualTo(minions * SLOTS);
     }
 
+    @Property(tries = 60, seed = "8")
+    void grantsFollowACapacityThatFalls(
+            @ForAll Random random,
+            @ForAll @IntRange(min = 2, max = 6) int daemons,
+            @ForAll @IntRange(min = 0, max = 7) int slots) {
+        World world = new World(random, daemons, 4);
+        for (int step = 0; step < 200; step++) {
+            world.step();
+        }
+        world.mLedger.useCapacity(Map.of("m0", 8, "m1", slots, "m2", 8, "m3", slots));
+        world.mDaemons.forEach(daemon -> daemon.mInFlight.clear());
+        world.deliverAtOnce(4);
+        for (String minion : List.of("m1", "m3")) {
+            int used = world.mDaemons.stream().mapToInt(daemon -> daemon.used(minion)).sum();
+            assertThat(used).isLessThanOrEqualTo(slots);
+        }
+    }
+
     /** Daemons, one ledger and the messages between them. */
     private static final class World {
         private final Random mRandom;
--- a/proof/src/test/java/org/endivetray/proof/FleetFaultsTest.java
+++ b/proof/src/test/java/org/endivetray/proof/FleetFaultsTest.java
@@ -9,6 +9,8 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import org.endivetray.AvailabilityBudget;
 import org.endivetray.Intent;
 import org.endivetray.IntentKind;
@@ -240,6 +242,30 @@
         }
     }
 
+    @Test
+    void aDaemonThatReachesNoOtherStaysWithinTheMinionsSlots() {
+        mSite.relay().cut("e1", "e2");
+        mSite.relay().cut("e1", "e3");
+        TestSite.pause(5_000);
+        long refusedBefore = mSite.minionStats().path("overLimit").asLong();
+        ExecutorService callers = Executors.newFixedThreadPool(90);
+        List<CompletableFuture<TestSite.Answer>> sent = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            String daemon = "e" + (i % 3 + 1);
+            sent.add(
+                    CompletableFuture.supplyAsync(
+                            () ->
+                                    mSite.call(
+                                            daemon, "GET", "/s/charts/x?work=50&token=n", Map.of()),
+                            callers));
+        }
+        assertThat(sent).allSatisfy(one -> assertThat(one.join().status()).isEqualTo(200));
+        assertThat(mSite.minionStats().path("overLimit").asLong()).isEqualTo(refusedBefore);
+        callers.shutdown();
+        mSite.relay().mend();
+        TestSite.waitFor(() -> mSite.get("e1", "/v1/status").path("live").size() == 3);
+    }
+
     @Test
     void aPlanProposedInAnOutageIsRefusedWithACodeAndNothingChanges() {
         mSite.platformFault("store?mode=DOWN");
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -1,9 +1,10 @@
 # Starts and stops a site as separate processes on loopback addresses. Sourced by the scripts.
 
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
-DAEMON_JAR=$ROOT/daemon/target/endivetrayd-0.1.0-all.jar
-CTL_JAR=$ROOT/ctl/target/endivetrayctl-0.1.0-all.jar
-STANDIN_JAR=$ROOT/standin/target/endivetray-standin-0.1.0-all.jar
+# ENDIVETRAY_JARS names a folder with copies of the three built files, to compare versions.
+DAEMON_JAR=${ENDIVETRAY_JARS:-$ROOT/daemon/target}/endivetrayd-0.1.0-all.jar
+CTL_JAR=${ENDIVETRAY_JARS:-$ROOT/ctl/target}/endivetrayctl-0.1.0-all.jar
+STANDIN_JAR=${ENDIVETRAY_JARS:-$ROOT/standin/target}/endivetray-standin-0.1.0-all.jar
 JVM_FLAGS="-Xmx160m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:MaxDirectMemorySize=48m"
 RUN=$(mktemp -d "${TMPDIR:-/tmp}/endivetray.XXXXXX")
 PIDS=()
@@ -46,6 +47,18 @@
     PLATFORM=$(cat "$RUN/platform")
 }
 
+relay_port() { # name -> its port at the relay, 0 without a relay
+    [ -s "$RUN/relay.json" ] || { echo 0; return; }
+    sed "s/.*\"$1\":\([0-9]*\).*/\1/" "$RUN/relay.json"
+}
+
+start_relay() { # names, separated by commas
+    start relay java -Xmx128m -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -jar "$STANDIN_JAR" relay \
+        --targets "$1" --out "$RUN/relay.json" --control "$RUN/relay-control"
+    wait_for_file "$RUN/relay.json"
+    RELAY_CONTROL=$(cat "$RUN/relay-control")
+}
+
 settings() { # name zone policy decisions
     cat >"$RUN/$1.json" <<EOF
 {
@@ -57,6 +70,7 @@
     "workers": {"host": "127.0.0.1", "port": $PLATFORM}
   },
   "routing": {"policy": "$3"},
+  "inner": {"advertisedPort": $(relay_port "$1")},
   "log": {"decisions": $4}
 }
 EOF
--- a/standin/src/main/java/org/endivetray/standin/Main.java
+++ b/standin/src/main/java/org/endivetray/standin/Main.java
@@ -38,10 +38,12 @@
             case "platform" -> platform(site, line);
             case "minions" -> minions(site, line);
             case "callers" -> new CallerMain(site, line).run();
+            case "relay" -> relay(line);
             case "summary" -> System.exit(TrySummary.print(line) ? 0 : 1);
             case "site" -> Json.mapper().writeValue(out(line).toFile(), site.configuration());
             default -> {
-                System.err.println("first argument: platform, minions, callers, site or summary");
+                System.err.println(
+                        "first argument: platform, minions, callers, relay, site or summary");
                 System.exit(2);
             }
         }
@@ -129,6 +131,21 @@
                                                 }));
     }
 
+    private static void relay(CommandLine line) {
+        LinkRelay relay = new LinkRelay();
+        relay.start(List.of(line.getOptionValue("targets").split(",")))
+                .compose(
+                        ports ->
+                                relay.startControl()
+                                        .onSuccess(
+                                                control -> {
+                                                    write(
+                                                            Path.of(line.getOptionValue("control")),
+                                                            Integer.toString(control));
+                                                    write(out(line), toJson(ports));
+                                                }));
+    }
+
     private static String toJson(Object value) {
         return Json.mapper().valueToTree(value).toString();
     }
--- a/wire/src/main/java/org/endivetray/wire/InnerCodec.java
+++ b/wire/src/main/java/org/endivetray/wire/InnerCodec.java
@@ -31,11 +31,20 @@
      * @param envelope the message, not null
      */
     public static Buffer encode(Envelope envelope) {
+        byte[] bytes = payload(envelope);
+        return Buffer.buffer(LENGTH_BYTES + bytes.length)
+                .appendInt(bytes.length)
+                .appendBytes(bytes);
+    }
+
+    /**
+     * Returns the message without a length, as it is carried in another message.
+     *
+     * @param envelope the message, not null
+     */
+    public static byte[] payload(Envelope envelope) {
         try {
-            byte[] bytes = new TSerializer(new TCompactProtocol.Factory()).serialize(envelope);
-            return Buffer.buffer(LENGTH_BYTES + bytes.length)
-                    .appendInt(bytes.length)
-                    .appendBytes(bytes);
+            return new TSerializer(new TCompactProtocol.Factory()).serialize(envelope);
         } catch (TException e) {
             throw new EndivetrayException(ResultCode.INTERNAL, "cannot encode a message", e);
         }
