Leave a minion only if it is silent while others answer

Not the stop: each try was cut after 500 ms (8 means of 20 ms), the retry budget ran out and sound minions were left out. Ruled out: the stop itself (the same codes without SIGTERM). Change: a try is given up only if its minion has answered nothing since while another minion has answered a request sent later, and only if a retry would be granted; else it has until its deadline.

--- a/daemon/src/main/java/org/endivetray/daemon/Main.java
+++ b/daemon/src/main/java/org/endivetray/daemon/Main.java
@@ -153,6 +153,7 @@
                     .toCompletableFuture()
                     .get(STOP_SECONDS, TimeUnit.SECONDS);
             daemon.end();
+            Runtime.getRuntime().halt(0);
         } catch (ExecutionException | TimeoutException e) {
             System.err.println("endivetrayd: stop was not clean: " + e);
         } catch (InterruptedException e) {
--- a/daemon/src/main/java/org/endivetray/daemon/request/MinionClient.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/MinionClient.java
@@ -139,6 +139,11 @@
             mContext.runOnContext(ignored -> end(AttemptEnd.CANCELLED, null));
         }
 
+        /** Breaks the attempt off since the minion seems to have stalled. */
+        void giveUp() {
+            mContext.runOnContext(ignored -> end(AttemptEnd.LATE, null));
+        }
+
         private void begin(long decidedNanos) {
             long now = System.nanoTime();
             if (now - decidedNanos > STALE_DECISION_NANOS || now - mUntilNanos >= 0) {
--- a/daemon/src/main/java/org/endivetray/daemon/request/RequestRouter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/RequestRouter.java
@@ -236,13 +236,12 @@
             (again ? tried : untried).add(minion);
         }
         Optional<MinionState> chosen = mPolicy.choose(mChooser, untried);
-        return chosen.isPresent() || !untried.isEmpty() ? chosen : mPolicy.choose(mChooser, tried);
+        return chosen.isPresent() ? chosen : mPolicy.choose(mChooser, tried);
     }
 
     private void send(
             ServiceState service, RoutedRequest request, MinionState minion, long nowNanos) {
         minion.onSent();
-        long until = untilNanos(service, request, nowNanos);
         mLog.sent(request, minion);
         MinionClient.Attempt attempt =
                 mClient.send(
@@ -250,23 +249,27 @@
                         minion.endpoint(),
                         minion.limit(),
                         nowNanos,
-                        until,
+                        request.deadlineNanos(),
                         (end, answer) ->
                                 mDuty.submit(
                                         () -> onAttemptEnd(service, request, minion, end, answer)));
         request.onSent(minion, attempt, nowNanos);
+        service.sent().add(request);
     }
 
-    /** Returns the time until which one minion may take; less if another could still be tried. */
-    private long untilNanos(ServiceState service, RoutedRequest request, long nowNanos) {
-        long left = request.deadlineNanos() - nowNanos;
+    /** Gives up on minions that answer nothing while others do, so that requests go elsewhere. */
+    private void leaveStalledMinions(ServiceState service, long nowNanos) {
         long tryNanos = Math.max(MIN_TRY_NANOS, (long) (TRY_MEANS * service.meanNanos()));
-        boolean mayTryAgain =
-                request.isRepeatable()
-                        && service.usable().size() > 1
-                        && request.attempts() + 1 < MAX_ATTEMPTS
-                        && left > 2 * tryNanos;
-        return mayTryAgain ? nowNanos + tryNanos : request.deadlineNanos();
+        for (RoutedRequest request : service.sent()) {
+            boolean mayLeave =
+                    request.isRepeatable()
+                            && request.attempt() != null
+                            && nowNanos - request.sentNanos() > tryNanos
+                            && request.attempts() < MAX_ATTEMPTS;
+            if (mayLeave && service.canRetry() && service.hasStalled(request)) {
+                request.attempt().giveUp();
+            }
+        }
     }
 
     private void onAttemptEnd(
@@ -278,10 +281,12 @@
         long now = System.nanoTime();
         minion.onEnded();
         request.onAttemptEnded();
+        service.sent().remove(request);
         recordHealth(service, minion, end, answer, now);
         mServices.onAttemptEnded(minion);
         if (end.isAnswered()) {
             service.onAnswered(now - request.sentNanos());
+            minion.onAnswered(request.sentNanos(), now);
         }
         if (request.isEnded()) {
             dispatch(service);
@@ -412,6 +417,7 @@
                                                     ResultCode.DEADLINE_PASSED,
                                                     "no slot in time")));
             mSlots.tick(service, now);
+            leaveStalledMinions(service, now);
             dispatch(service);
         }
         trimConnections(now);
--- a/daemon/src/main/java/org/endivetray/daemon/request/RoutedRequest.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/RoutedRequest.java
@@ -34,6 +34,7 @@
     private boolean mEnded;
     private boolean mCallerGone;
     private MinionClient.Attempt mAttempt;
+    private MinionState mMinion;
 
     RoutedRequest(
             String id,
@@ -131,6 +132,11 @@
         return mCallerGone;
     }
 
+    /** Returns the minion that it was sent to last, null before that. */
+    MinionState minion() {
+        return mMinion;
+    }
+
     MinionClient.Attempt attempt() {
         return mAttempt;
     }
@@ -139,6 +145,7 @@
         mAttempts++;
         mTried.add(minion.endpoint().address());
         mAttempt = attempt;
+        mMinion = minion;
         mSentNanos = nowNanos;
     }
 
--- a/daemon/src/main/java/org/endivetray/daemon/request/ServiceState.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/ServiceState.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.endivetray.ServiceDeclaration;
 import org.endivetray.policy.RetryBudget;
 import org.endivetray.policy.WaitQueue;
@@ -26,6 +28,7 @@
 
     private final WaitQueue<RoutedRequest> mQueue;
     private final Map<String, MinionState> mMinions = new HashMap<>();
+    private final Set<RoutedRequest> mSent = new HashSet<>();
     private final RetryBudget mRetries = new RetryBudget();
     private ServiceDeclaration mDeclaration;
     private double mMeanNanos;
@@ -92,6 +95,32 @@
         mRetries.onSuccess();
     }
 
+    /** Returns the requests that are at minions. */
+    Set<RoutedRequest> sent() {
+        return mSent;
+    }
+
+    /**
+     * Returns whether the request's minion seems to have stalled.
+     *
+     * <p>It has, if it answered nothing since the request was sent although another minion has
+     * answered a request that was sent later.
+     */
+    boolean hasStalled(RoutedRequest request) {
+        MinionState minion = request.minion();
+        if (!minion.isSilentSince(request.sentNanos())) {
+            return false;
+        }
+        return mMinions.values().stream()
+                .filter(other -> other != minion)
+                .anyMatch(other -> other.hasAnsweredSentAfter(request.sentNanos()));
+    }
+
+    /** Returns whether a retry would be granted now. */
+    boolean canRetry() {
+        return mQueue.size() <= slots() && mRetries.balance() >= 1;
+    }
+
     /** Returns whether enough minions are in routing to leave one more out. */
     boolean mayEject() {
         long ejected = usable().stream().filter(minion -> minion.health().isEjected()).count();
--- a/policy/src/main/java/org/endivetray/policy/SlotLedger.java
+++ b/policy/src/main/java/org/endivetray/policy/SlotLedger.java
@@ -265,13 +265,22 @@
             lowerBusy(surplus);
         }
 
+        /** Takes idle slots where most are granted, so that some stay at every minion. */
         private int lowerIdle(int surplus) {
             int left = surplus;
-            for (Map.Entry<String, Integer> cell : mGranted.entrySet()) {
-                int idle = Math.max(0, cell.getValue() - inFlight(cell.getKey()));
-                int taken = Math.max(0, Math.min(left, idle));
-                cell.setValue(cell.getValue() - taken);
-                left -= taken;
+            while (left > 0) {
+                Map.Entry<String, Integer> largest = null;
+                for (Map.Entry<String, Integer> cell : mGranted.entrySet()) {
+                    boolean idle = cell.getValue() > inFlight(cell.getKey());
+                    if (idle && (largest == null || cell.getValue() > largest.getValue())) {
+                        largest = cell;
+                    }
+                }
+                if (largest == null) {
+                    return left;
+                }
+                largest.setValue(largest.getValue() - 1);
+                left--;
             }
             return left;
         }
--- /dev/null
+++ b/proof/src/test/java/org/endivetray/proof/RequestEdgesTest.java
@@ -0,0 +1,181 @@
+package org.endivetray.proof;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.endivetray.standin.Answers;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+class RequestEdgesTest {
+    private static final int LARGE = 3_000_000;
+
+    private static TestSite sSite;
+
+    @BeforeAll
+    static void startSite() {
+        sSite = TestSite.start(2);
+    }
+
+    @AfterAll
+    static void stopSite() {
+        sSite.close();
+    }
+
+    @AfterEach
+    void heal() {
+        sSite.minionFault("", "NONE");
+        TestSite.waitFor(() -> sSite.call("e1", "GET", "/s/routes/x", Map.of()).status() == 200);
+    }
+
+    private static Socket connect() throws Exception {
+        Socket socket = new Socket("127.0.0.1", sSite.ports("e1").callers());
+        socket.setSoTimeout(20_000);
+        return socket;
+    }
+
+    private static void write(Socket socket, String text) throws Exception {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        socket.getOutputStream().flush();
+    }
+
+    @Test
+    void aLargeAnswerIsPassedOnWhole() {
+        TestSite.Answer answer =
+                sSite.call("e1", "GET", "/s/charts/x?token=big&bytes=" + LARGE, Map.of());
+        assertThat(answer.body()).isEqualTo(Answers.of("charts", "big", LARGE));
+    }
+
+    @Test
+    void aSlowReaderHoldsTheMinionBackAndStillGetsTheWholeAnswer() throws Exception {
+        try (Socket socket = connect()) {
+            socket.setReceiveBufferSize(65_536);
+            write(
+                    socket,
+                    "GET /s/charts/x?token=slow&bytes="
+                            + LARGE
+                            + " HTTP/1.1\r\nHost: x\r\nX-Endivetray-Member: polestar\r\n"
+                            + "Connection: close\r\n\r\n");
+            TestSite.pause(1_000);
+            String text =
+                    new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertThat(text).endsWith("end slow\n");
+            assertThat(text.length()).isGreaterThan(LARGE);
+        }
+    }
+
+    @Test
+    void aLargeAnswerThatBreaksOffIsNeverTakenForWhole() throws Exception {
+        sSite.minionFault("", "TRUNCATE");
+        try (Socket socket = connect()) {
+            write(
+                    socket,
+                    "GET /s/charts/x?token=cut&bytes="
+                            + LARGE
+                            + " HTTP/1.1\r\nHost: x\r\nX-Endivetray-Member: polestar\r\n\r\n");
+            InputStream in = socket.getInputStream();
+            String text = new String(in.readAllBytes(), StandardCharsets.US_ASCII);
+            assertThat(text).contains("content-length: ");
+            String length = text.replaceAll("(?s).*content-length: (\\d+).*", "$1");
+            int head = text.indexOf("\r\n\r\n") + 4;
+            assertThat(text.length() - head).isLessThan(Integer.parseInt(length));
+        }
+    }
+
+    @Test
+    void aHeadThatDoesNotArriveInTimeClosesTheConnection() throws Exception {
+        try (Socket socket = connect()) {
+            write(socket, "GET /s/charts/x HTTP/1.1\r\nHost: x\r\n");
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+
+    @Test
+    void aBodyThatDoesNotArriveInTimeGetsItsNumberedError() throws Exception {
+        try (Socket socket = connect()) {
+            write(
+                    socket,
+                    "POST /s/charts/x HTTP/1.1\r\nHost: x\r\nX-Endivetray-Member: polestar\r\n"
+                            + "Content-Length: 100\r\n\r\nhalf");
+            byte[] answer = socket.getInputStream().readNBytes(200);
+            assertThat(new String(answer, StandardCharsets.US_ASCII))
+                    .startsWith("HTTP/1.1 400")
+                    .containsIgnoringCase("X-Endivetray-Code: 1001");
+        }
+    }
+
+    @Test
+    void bytesThatAreNotHttpGetTheirNumberedError() throws Exception {
+        try (Socket socket = connect()) {
+            write(socket, "\u0001\u0002 nonsense\r\n\r\n");
+            byte[] answer = socket.getInputStream().readNBytes(120);
+            assertThat(new String(answer, StandardCharsets.US_ASCII))
+                    .contains("400")
+                    .containsIgnoringCase("X-Endivetray-Code: 1001");
+        }
+    }
+
+    @Test
+    void callersThatGoAwayLeaveTheirSlotsToOthers() throws Exception {
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            Socket socket = connect();
+            write(
+                    socket,
+                    "GET /s/routes/x?token=gone&work=4000 HTTP/1.1\r\nHost: x\r\n"
+                            + "X-Endivetray-Member: polestar\r\n\r\n");
+            sockets.add(socket);
+        }
+        TestSite.pause(800);
+        long cancelledBefore = sSite.minionStats().path("cancelled").asLong();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        TestSite.Answer answer =
+                sSite.call(
+                        "e1",
+                        "GET",
+                        "/s/routes/x?token=next",
+                        Map.of("X-Endivetray-Deadline-Millis", "1500"));
+        assertThat(answer.status()).as(answer.body()).isEqualTo(200);
+        TestSite.waitFor(
+                () -> sSite.minionStats().path("cancelled").asLong() > cancelledBefore + 30);
+    }
+
+    @Test
+    void aMemberThatFloodsDoesNotKeepAnotherFromItsAnswer() {
+        ExecutorService callers = Executors.newFixedThreadPool(200);
+        List<CompletableFuture<TestSite.Answer>> flood = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            flood.add(
+                    CompletableFuture.supplyAsync(
+                            () ->
+                                    sSite.call(
+                                            "e1",
+                                            "GET",
+                                            "/s/passages/x?token=f&work=400",
+                                            Map.of("X-Endivetray-Member", "harbourline")),
+                            callers));
+        }
+        TestSite.pause(300);
+        long began = System.nanoTime();
+        TestSite.Answer modest =
+                sSite.call("e1", "GET", "/s/passages/x?token=m&work=400", Map.of());
+        long tookMillis = (System.nanoTime() - began) / 1_000_000;
+        assertThat(modest.status()).as(modest.body()).isEqualTo(200);
+        int inTurns = flood.stream().mapToInt(one -> one.join().status() == 200 ? 1 : 0).sum();
+        assertThat(inTurns).isGreaterThan(100);
+        assertThat(tookMillis).as("waits for a slot, not for the flood").isLessThan(1_500);
+        callers.shutdown();
+    }
+}
--- a/proof/src/test/java/org/endivetray/proof/TestSite.java
+++ b/proof/src/test/java/org/endivetray/proof/TestSite.java
@@ -17,7 +17,6 @@
 import org.endivetray.Intent;
 import org.endivetray.Json;
 import org.endivetray.daemon.Daemon;
-import org.endivetray.daemon.settings.SettingKey;
 import org.endivetray.daemon.settings.Settings;
 import org.endivetray.standin.HostTable;
 import org.endivetray.standin.LinkRelay;
@@ -70,22 +69,35 @@
         return daemon;
     }
 
+    /** Starts a daemon as a process of its own, and returns it when it is ready. */
+    DaemonProcess startProcess(String name) {
+        DaemonProcess process = DaemonProcess.start(settingsText(name));
+        mPorts.put(name, process.ports());
+        mRelay.setTarget(name, process.ports().inner());
+        waitFor(() -> raw(operators(name), "GET", "/readyz", "").equals("ready\n"));
+        return process;
+    }
+
     private Settings settings(String name) {
+        return Settings.ofText(settingsText(name));
+    }
+
+    private String settingsText(String name) {
         String address = "{\"host\": \"127.0.0.1\", \"port\": " + mPlatformPort + "}";
-        return Settings.ofText(
-                        "{\"name\": \""
-                                + name
-                                + "\", \"zone\": \"kochi-a\", \"platform\": {\"store\": "
-                                + address
-                                + ", \"hosts\": "
-                                + address
-                                + ", \"workers\": "
-                                + address
-                                + ", \"hostsRefreshMillis\": 200},"
-                                + " \"membership\": {\"heartbeatMillis\": 200, \"stopLagMillis\": 100},"
-                                + " \"limits\": {\"maxDeadlineMillis\": 4000},"
-                                + " \"log\": {\"decisions\": 0}}")
-                .with(SettingKey.INNER_ADVERTISED, mRelayPorts.get(name));
+        return "{\"name\": \""
+                + name
+                + "\", \"zone\": \"kochi-a\", \"platform\": {\"store\": "
+                + address
+                + ", \"hosts\": "
+                + address
+                + ", \"workers\": "
+                + address
+                + ", \"hostsRefreshMillis\": 200},"
+                + " \"membership\": {\"heartbeatMillis\": 200, \"stopLagMillis\": 100},"
+                + " \"limits\": {\"maxDeadlineMillis\": 4000},"
+                + " \"inner\": {\"advertisedPort\": "
+                + mRelayPorts.get(name)
+                + "}, \"log\": {\"decisions\": 0}}";
     }
 
     private void configure() {
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -7,7 +7,6 @@
 STANDIN_JAR=${ENDIVETRAY_JARS:-$ROOT/standin/target}/endivetray-standin-0.1.0-all.jar
 JVM_FLAGS="-Xmx160m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:MaxDirectMemorySize=48m"
 RUN=$(mktemp -d "${TMPDIR:-/tmp}/endivetray.XXXXXX")
-PIDS=()
 
 build() {
     mvn -q -f "$ROOT/pom.xml" -DskipTests -Dspotless.check.skip -Dcheckstyle.skip package
@@ -18,7 +17,7 @@
     shift
     "$@" >"$RUN/$name.out" 2>"$RUN/$name.log" &
     LAST_PID=$!
-    PIDS+=("$LAST_PID")
+    echo "$LAST_PID" >>"$RUN/pids"
 }
 
 wait_for_file() {
@@ -70,6 +69,7 @@
     "workers": {"host": "127.0.0.1", "port": $PLATFORM}
   },
   "routing": {"policy": "$3"},
+  "callers": {"port": ${5:-0}}, "operators": {"port": ${6:-0}},
   "inner": {"advertisedPort": $(relay_port "$1")},
   "log": {"decisions": $4}
 }
@@ -77,7 +77,7 @@
 }
 
 start_daemon() { # name zone [policy] [decisions]
-    settings "$1" "$2" "${3:-granted}" "${4:-1}"
+    settings "$1" "$2" "${3:-granted}" "${4:-1}" "${5:-0}" "${6:-0}"
     rm -f "$RUN/$1.ports"
     # shellcheck disable=SC2086
     start "$1" java $JVM_FLAGS -jar "$DAEMON_JAR" --settings "$RUN/$1.json" \
@@ -85,6 +85,18 @@
     eval "PID_${1//-/_}=$LAST_PID"
 }
 
+replace_daemon() { # name zone policy decisions: stops it gracefully and starts it on its ports
+    local callers operators pid="PID_${1//-/_}"
+    read -r callers operators _ <"$RUN/$1.ports"
+    kill -TERM "${!pid}"
+    for _ in $(seq 1 400); do
+        grep -q '^State:.[^Z]' "/proc/${!pid}/status" 2>/dev/null || break
+        sleep 0.1
+    done
+    start_daemon "$1" "$2" "$3" "$4" "$callers" "$operators"
+    wait_for_file "$RUN/$1.ports" && wait_ready "$1"
+}
+
 target() { # name -> callers:operators:pid
     wait_for_file "$RUN/$1.ports"
     read -r callers operators _ <"$RUN/$1.ports"
@@ -139,11 +151,14 @@
 }
 
 stop_all() {
-    for pid in "${PIDS[@]}"; do
+    local pids pid
+    [ -s "$RUN/pids" ] || return 0
+    pids=$(cat "$RUN/pids")
+    for pid in $pids; do
         kill -CONT "$pid" 2>/dev/null
         kill -TERM "$pid" 2>/dev/null
     done
-    for pid in "${PIDS[@]}"; do
+    for pid in $pids; do
         for _ in $(seq 1 100); do
             kill -0 "$pid" 2>/dev/null || break
             sleep 0.1
@@ -151,7 +166,7 @@
         kill -KILL "$pid" 2>/dev/null
         wait "$pid" 2>/dev/null
     done
-    PIDS=()
+    rm -f "$RUN/pids"
 }
 
 remove_run() {
