--- a/bench/src/main/java/org/endivetray/bench/SlopesBench.java
+++ b/bench/src/main/java/org/endivetray/bench/SlopesBench.java
@@ -174,7 +174,7 @@
     }
 
     private static Snapshot snapshot(int workers, int pools) {
-        return Snapshot.EMPTY.withValues(values(workers, pools), 1).withHosts(hosts(workers), 1);
+        return Snapshot.EMPTY.withValues(values(workers, pools), 1).withHosts(hosts(workers));
     }
 
     // ---- work
@@ -206,7 +206,9 @@
     private static Runnable hostList(int workers) {
         Snapshot snapshot = snapshot(workers, 53);
         List<ListedHost> hosts = hosts(workers);
-        return () -> snapshot.withHosts(hosts, 2);
+        List<ListedHost> others = hosts(workers - 1);
+        boolean[] odd = {false};
+        return () -> snapshot.withHosts((odd[0] = !odd[0]) ? others : hosts);
     }
 
     private static Runnable planWave(int workers) {
--- a/daemon/src/main/java/org/endivetray/daemon/fleet/PlanBasis.java
+++ b/daemon/src/main/java/org/endivetray/daemon/fleet/PlanBasis.java
@@ -1,5 +1,6 @@
 package org.endivetray.daemon.fleet;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.TreeSet;
 import org.apache.commons.codec.digest.MurmurHash3;
@@ -40,9 +41,7 @@
                 .forEach(member -> appendVersion(snapshot, Keys.MEMBER + member.name(), text));
         intent.joins()
                 .forEach(join -> text.append(snapshot.fleet().record(join.worker())).append('\n'));
-        long[] hash =
-                MurmurHash3.hash128x64(
-                        text.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        long[] hash = MurmurHash3.hash128x64(text.toString().getBytes(StandardCharsets.UTF_8));
         return Long.toHexString(hash[0]) + Long.toHexString(hash[1]);
     }
 
--- a/daemon/src/main/java/org/endivetray/daemon/fleet/PlanExecutor.java
+++ b/daemon/src/main/java/org/endivetray/daemon/fleet/PlanExecutor.java
@@ -55,6 +55,7 @@
 public final class PlanExecutor {
     private static final Logger LOGGER = System.getLogger(PlanExecutor.class.getName());
     private static final int RING_ENTRIES = 1_024;
+    private static final long GAUGE_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long STALE_PASS_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final StateView mView;
@@ -69,6 +70,7 @@
     private final Map<String, Long> mStartedNanos = new HashMap<>();
     private Snapshot mSnapshot = Snapshot.EMPTY;
     private long mPassNanos;
+    private long mGaugedNanos;
 
     /**
      * Constructs an executor that has not been started.
@@ -113,7 +115,10 @@
     private void pass() {
         mSnapshot = mView.snapshot();
         mPassNanos = System.nanoTime();
-        recordGauges();
+        if (mPassNanos - mGaugedNanos > GAUGE_NANOS) {
+            mGaugedNanos = mPassNanos;
+            recordGauges();
+        }
         if (!mSnapshot.hasHosts()) {
             return;
         }
--- a/daemon/src/main/java/org/endivetray/daemon/member/Membership.java
+++ b/daemon/src/main/java/org/endivetray/daemon/member/Membership.java
@@ -49,7 +49,7 @@
 public final class Membership {
     private static final Logger LOGGER = System.getLogger(Membership.class.getName());
     private static final int RING_ENTRIES = 4_096;
-    private static final long TICK_MILLIS = 50;
+    private static final long TICK_MILLIS = 100;
     private static final int MISSED_HEARTBEATS = 3;
     private static final long MESSAGE_TIMEOUT_MILLIS = 1_000;
 
--- a/daemon/src/main/java/org/endivetray/daemon/request/RequestRouter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/RequestRouter.java
@@ -39,7 +39,7 @@
 public final class RequestRouter {
     private static final Logger LOGGER = System.getLogger(RequestRouter.class.getName());
     private static final int RING_ENTRIES = 8_192;
-    private static final long TICK_MILLIS = 5;
+    private static final long TICK_MILLIS = 10;
     private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final int MAX_ATTEMPTS = 4;
     private static final long MIN_TRY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
--- a/daemon/src/main/java/org/endivetray/daemon/state/Snapshot.java
+++ b/daemon/src/main/java/org/endivetray/daemon/state/Snapshot.java
@@ -29,14 +29,13 @@
  */
 public final class Snapshot {
     /** A snapshot from before anything was read. */
-    public static final Snapshot EMPTY = new Snapshot(0, Map.of(), Map.of(), 0, null);
+    public static final Snapshot EMPTY = new Snapshot(0, Map.of(), Map.of(), null);
 
     private final long mRevision;
     private final Map<String, Versioned> mRaw;
     private final Map<String, Object> mDecoded = new HashMap<>();
     private final Map<String, String> mDamaged = new TreeMap<>();
     private final Map<String, ListedHost> mListed;
-    private final long mListedNanos;
     private final FleetView mFleet;
     private final Map<String, ServiceDeclaration> mServices = new TreeMap<>();
 
@@ -44,12 +43,10 @@
             long revision,
             Map<String, Versioned> raw,
             Map<String, ListedHost> listed,
-            long listedNanos,
             Snapshot previous) {
         mRevision = revision;
         mRaw = raw;
         mListed = listed;
-        mListedNanos = listedNanos;
         raw.values().forEach(value -> decode(value, previous));
         mFleet = buildFleet();
         for (Pool pool : mFleet.pools()) {
@@ -135,11 +132,6 @@
         return Map.copyOf(mDamaged);
     }
 
-    /** Returns the monotonic time at which the host list was read, in nanoseconds. */
-    public long listedNanos() {
-        return mListedNanos;
-    }
-
     /** Returns whether the host list has been read. */
     public boolean hasHosts() {
         return !mListed.isEmpty();
@@ -164,7 +156,7 @@
                 next.put(value.key(), value);
             }
         }
-        return new Snapshot(Math.max(mRevision, revision), next, mListed, mListedNanos, this);
+        return new Snapshot(Math.max(mRevision, revision), next, mListed, this);
     }
 
     /**
@@ -185,20 +177,21 @@
                         present.contains(key) || known.version() > revision
                                 ? known
                                 : new Versioned(key, revision, null));
-        return new Snapshot(revision, next, mListed, mListedNanos, this)
-                .withValues(values, revision);
+        return new Snapshot(revision, next, mListed, this).withValues(values, revision);
     }
 
     /**
-     * Returns a copy with another host list.
+     * Returns a copy with another host list, or this snapshot if the list is the same.
      *
      * @param rows the rows, not null
-     * @param nowNanos time on the monotonic clock, in nanoseconds
      */
-    public Snapshot withHosts(List<ListedHost> rows, long nowNanos) {
+    public Snapshot withHosts(List<ListedHost> rows) {
         Map<String, ListedHost> listed = new TreeMap<>();
         rows.forEach(row -> listed.put(row.worker(), row));
-        return new Snapshot(mRevision, mRaw, listed, nowNanos, this);
+        if (listed.equals(mListed)) {
+            return this;
+        }
+        return new Snapshot(mRevision, mRaw, listed, this);
     }
 
     private void decode(Versioned value, Snapshot previous) {
--- a/daemon/src/main/java/org/endivetray/daemon/state/StateView.java
+++ b/daemon/src/main/java/org/endivetray/daemon/state/StateView.java
@@ -52,7 +52,7 @@
 
     /** Takes in the host list. */
     public void onHosts(List<ListedHost> rows) {
-        change(snapshot -> snapshot.withHosts(rows, System.nanoTime()));
+        change(snapshot -> snapshot.withHosts(rows));
     }
 
     private void change(UnaryOperator<Snapshot> change) {
--- a/standin/src/main/java/org/endivetray/standin/CallerMain.java
+++ b/standin/src/main/java/org/endivetray/standin/CallerMain.java
@@ -202,7 +202,10 @@
 
     private Future<Void> latency() {
         long seconds = number("seconds", 10);
-        int direct = (int) number("direct", 0);
+        int[] direct =
+                Arrays.stream(mLine.getOptionValue("direct").split(","))
+                        .mapToInt(Integer::parseInt)
+                        .toArray();
         String service = mSite.services().get(0);
         Promise<Void> ended = Promise.promise();
         long began = System.nanoTime();
@@ -217,7 +220,7 @@
                     while (owed[0] >= 1) {
                         owed[0] -= 1;
                         if (mRandom.nextInt(2) == 0) {
-                            mCallers.sendDirect(direct, service);
+                            mCallers.sendDirect(direct[mRandom.nextInt(direct.length)], service);
                         } else {
                             mCallers.send(service, false);
                         }
--- a/standin/src/main/java/org/endivetray/standin/Callers.java
+++ b/standin/src/main/java/org/endivetray/standin/Callers.java
@@ -97,8 +97,15 @@
                         .setURI("/x?token=" + token + "&work=" + mWorkMillis);
         return mClient.request(options)
                 .compose(request -> request.putHeader("X-Request-Id", token).send())
-                .compose(HttpClientResponse::body)
-                .onSuccess(body -> mTally.recordDirect(System.nanoTime() - began))
+                .compose(response -> response.body().map(body -> response.statusCode()))
+                .onSuccess(
+                        status -> {
+                            if (status == 200) {
+                                mTally.recordDirect(System.nanoTime() - began);
+                            } else {
+                                mTally.add("directRefused");
+                            }
+                        })
                 .otherwiseEmpty()
                 .mapEmpty();
     }
