--- a/daemon/src/main/java/org/endivetray/daemon/member/Membership.java
+++ b/daemon/src/main/java/org/endivetray/daemon/member/Membership.java
@@ -9,13 +9,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.endivetray.EndivetrayException;
-import org.endivetray.ResultCode;
 import org.endivetray.daemon.duty.Duty;
 import org.endivetray.daemon.observe.Metrics;
 import org.endivetray.daemon.settings.SettingKey;
@@ -72,8 +69,7 @@
             (sender, incarnation, body) -> Future.failedFuture("not ready");
     private volatile boolean mStopping;
     private volatile int mPort;
-    private volatile boolean mSettled;
-    private long mKnownSinceNanos;
+    private final Settling mSettling;
     private long mLastBeatNanos;
     private long mLastPullNanos;
 
@@ -98,6 +94,7 @@
         mDuty = new Duty("membership", RING_ENTRIES, TICK_MILLIS, this::tick);
         mHeartbeatNanos = TimeUnit.MILLISECONDS.toNanos(settings.number(SettingKey.HEARTBEAT));
         mSuspectNanos = MISSED_HEARTBEATS * mHeartbeatNanos;
+        mSettling = new Settling(mHeartbeatNanos, mSuspectNanos);
         mGoneNanos =
                 TimeUnit.MILLISECONDS.toNanos(
                         settings.number(SettingKey.LEASE)
@@ -177,12 +174,12 @@
      * <p>Until then it takes itself for the only one, and must own nothing.
      */
     public boolean isSettled() {
-        return mSettled;
+        return mSettling.isSettled();
     }
 
     /** Returns whether this daemon is on the smaller side of a split between daemons. */
     public boolean isMinority() {
-        return mSettled && mMembers.isMinority();
+        return mSettling.isSettled() && mMembers.isMinority();
     }
 
     /** Returns the number of daemons that live but cannot be reached. */
@@ -270,24 +267,7 @@
     }
 
     private Route route(String daemon) {
-        long now = System.nanoTime();
-        PeerState peer = mPeers.get(daemon);
-        if (peer != null && peer.isFresh(now, mSuspectNanos)) {
-            return new Route(peer.link(), true);
-        }
-        Optional<PeerState> relay =
-                mPeers.values().stream()
-                        .filter(other -> other.isHeard(now, mSuspectNanos))
-                        .filter(other -> other.heartbeat().getHears().contains(daemon))
-                        .findFirst();
-        if (relay.isPresent()) {
-            return new Route(relay.get().link(), false);
-        }
-        if (peer == null) {
-            throw new EndivetrayException(
-                    ResultCode.DAEMON_UNREACHABLE, "daemon '" + daemon + "' is not known");
-        }
-        return new Route(peer.link(), true);
+        return Route.to(daemon, mPeers, System.nanoTime(), mSuspectNanos);
     }
 
     private void onSnapshot(Snapshot snapshot) {
@@ -444,22 +424,7 @@
             LOGGER.log(Level.INFO, () -> "member: live daemons changed live=" + next.live());
         }
         mMembers = next;
-        settle(snapshot, now, leased);
-    }
-
-    /** Settles once the stored peers were heard, or have been silent for long enough. */
-    private void settle(Snapshot snapshot, long now, Set<String> leased) {
-        boolean known = snapshot.revision() > 0;
-        if (mSettled || !known) {
-            return;
-        }
-        if (mKnownSinceNanos == 0) {
-            mKnownSinceNanos = now;
-        }
-        boolean allHeard =
-                leased.stream().allMatch(peer -> mPeers.get(peer).isHeard(now, mSuspectNanos));
-        boolean waited = now - mKnownSinceNanos > mSuspectNanos;
-        mSettled = waited || (allHeard && now - mKnownSinceNanos > mHeartbeatNanos);
+        mSettling.look(snapshot.revision() > 0, leased, mPeers, now);
     }
 
     private void pullIfBehind(long now) {
@@ -531,12 +496,4 @@
             peer.onHeartbeat(heartbeat, System.nanoTime());
         }
     }
-
-    /**
-     * How a message reaches a daemon.
-     *
-     * @param link the connection to use, not null
-     * @param isDirect whether the connection ends at the daemon
-     */
-    private record Route(InnerPeer link, boolean isDirect) {}
 }
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/member/Route.java
@@ -0,0 +1,42 @@
+package org.endivetray.daemon.member;
+
+import java.util.Map;
+import java.util.Optional;
+import org.endivetray.EndivetrayException;
+import org.endivetray.ResultCode;
+import org.endivetray.wire.InnerPeer;
+
+/**
+ * How a message reaches a daemon.
+ *
+ * <p>This class is immutable and thread-safe.
+ *
+ * @param link the connection to use, not null
+ * @param isDirect whether the connection ends at the daemon, else at a peer that hears it
+ */
+record Route(InnerPeer link, boolean isDirect) {
+    /**
+     * Returns the way to a daemon: its own link while it is heard, else one through a peer.
+     *
+     * @throws EndivetrayException with {@link ResultCode#DAEMON_UNREACHABLE} if it is not known
+     */
+    static Route to(String daemon, Map<String, PeerState> peers, long nowNanos, long suspectNanos) {
+        PeerState peer = peers.get(daemon);
+        if (peer != null && peer.isFresh(nowNanos, suspectNanos)) {
+            return new Route(peer.link(), true);
+        }
+        Optional<PeerState> relay =
+                peers.values().stream()
+                        .filter(other -> other.isHeard(nowNanos, suspectNanos))
+                        .filter(other -> other.heartbeat().getHears().contains(daemon))
+                        .findFirst();
+        if (relay.isPresent()) {
+            return new Route(relay.get().link(), false);
+        }
+        if (peer == null) {
+            throw new EndivetrayException(
+                    ResultCode.DAEMON_UNREACHABLE, "daemon '" + daemon + "' is not known");
+        }
+        return new Route(peer.link(), true);
+    }
+}
--- a/proof/src/test/java/org/endivetray/proof/FleetFaultsTest.java
+++ b/proof/src/test/java/org/endivetray/proof/FleetFaultsTest.java
@@ -16,6 +16,7 @@
 import org.endivetray.IntentKind;
 import org.endivetray.Member;
 import org.endivetray.Pool;
+import org.endivetray.daemon.Daemon;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -266,6 +267,33 @@
         TestSite.waitFor(() -> mSite.get("e1", "/v1/status").path("live").size() == 3);
     }
 
+    @Test
+    void aDaemonThatStartsInAnOutageGetsTheStateFromItsPeers() {
+        mSite.platformFault("store?mode=DOWN");
+        TestSite.waitFor(() -> !mSite.get("e1", "/v1/status").path("storeUp").asBoolean());
+        Daemon late = mSite.startDaemonWithPeers("e4", "e1", "e2");
+        TestSite.waitFor(late::isReady);
+        assertThat(mSite.get("e4", "/v1/pools")).hasSize(6);
+        TestSite.waitFor(
+                () -> mSite.call("e4", "GET", "/s/charts/x?token=n", Map.of()).status() == 200);
+        TestSite.waitFor(
+                () -> mSite.get("e1", "/v1/status").path("live").toString().contains("e4"));
+    }
+
+    @Test
+    void aDamagedRecordIsNamedAndLeftAsItIs() {
+        mSite.store("PUT", "/v1/kv?key=fleet/pool/odd&expect=0&lease=", "{\"format\":9}");
+        TestSite.waitFor(
+                () ->
+                        mSite.get("e2", "/v1/status")
+                                .path("damaged")
+                                .path("fleet/pool/odd")
+                                .asText()
+                                .contains("has format 9"));
+        mSite.run("e1", Intent.of(IntentKind.DRAIN_WORKER, "kochi-w08"));
+        assertThat(mSite.store("GET", "/v1/kv?key=fleet/pool/odd", "")).isEqualTo("{\"format\":9}");
+    }
+
     @Test
     void aPlanProposedInAnOutageIsRefusedWithACodeAndNothingChanges() {
         mSite.platformFault("store?mode=DOWN");
--- a/proof/src/test/java/org/endivetray/proof/TestSite.java
+++ b/proof/src/test/java/org/endivetray/proof/TestSite.java
@@ -17,6 +17,7 @@
 import org.endivetray.Intent;
 import org.endivetray.Json;
 import org.endivetray.daemon.Daemon;
+import org.endivetray.daemon.settings.SettingKey;
 import org.endivetray.daemon.settings.Settings;
 import org.endivetray.standin.HostTable;
 import org.endivetray.standin.LinkRelay;
@@ -69,6 +70,25 @@
         return daemon;
     }
 
+    /** Starts a daemon that knows the inner addresses of others from its settings. */
+    Daemon startDaemonWithPeers(String name, String... peers) {
+        StringBuilder addresses = new StringBuilder();
+        for (String peer : peers) {
+            addresses.append("127.0.0.1:").append(mPorts.get(peer).inner()).append(',');
+        }
+        Daemon daemon =
+                new Daemon(settings(name).with(SettingKey.INNER_PEERS, addresses.toString()));
+        mPorts.put(name, await(daemon.start()));
+        mRelay.setTarget(name, mPorts.get(name).inner());
+        mDaemons.put(name, daemon);
+        return daemon;
+    }
+
+    /** Reads or writes the platform's store as another program would. */
+    String store(String method, String uri, String body) {
+        return raw("127.0.0.1:" + mPlatformPort, method, uri, body);
+    }
+
     /** Starts a daemon as a process of its own, and returns it when it is ready. */
     DaemonProcess startProcess(String name) {
         DaemonProcess process = DaemonProcess.start(settingsText(name));
--- a/standin/src/main/java/org/endivetray/standin/Callers.java
+++ b/standin/src/main/java/org/endivetray/standin/Callers.java
@@ -23,6 +23,8 @@
  */
 final class Callers {
     private static final int MAX_TRIES = 3;
+    private static final int SHORT_BYTES = 200;
+    private static final int LONG_BYTES = 100_000;
     private static final long BALANCER_MILLIS = 200;
     private static final long GRACE_MILLIS = 1_500;
 
@@ -94,7 +96,13 @@
                 new RequestOptions()
                         .setHost("127.0.0.1")
                         .setPort(port)
-                        .setURI("/x?token=" + token + "&work=" + mWorkMillis);
+                        .setURI(
+                                "/x?token="
+                                        + token
+                                        + "&work="
+                                        + mWorkMillis
+                                        + "&bytes="
+                                        + bytesOf(token));
         return mClient.request(options)
                 .compose(request -> request.putHeader("X-Request-Id", token).send())
                 .compose(response -> response.body().map(body -> response.statusCode()))
@@ -110,6 +118,11 @@
                 .mapEmpty();
     }
 
+    /** Returns the length of the answer to ask for; one in ten is long. */
+    private static int bytesOf(String token) {
+        return token.endsWith("7") ? LONG_BYTES : SHORT_BYTES;
+    }
+
     private static double[] weights(int size, double skew) {
         double[] weights = new double[size];
         for (int i = 0; i < size; i++) {
@@ -167,7 +180,7 @@
                         + "&work="
                         + mWorkMillis
                         + "&bytes="
-                        + (call.token().endsWith("7") ? 100_000 : 200);
+                        + bytesOf(call.token());
         RequestOptions options =
                 new RequestOptions()
                         .setMethod(call.keyed() ? HttpMethod.POST : HttpMethod.GET)
@@ -223,7 +236,7 @@
             mTally.add("failedByMinion");
             return;
         }
-        int bytes = call.token().endsWith("7") ? 100_000 : 200;
+        int bytes = bytesOf(call.token());
         if (!body.equals(Answers.of(call.service(), call.token(), bytes))) {
             mTally.add("wrong");
             return;
