Count a request as open until its caller has gone, however early

Cause, found by reading: a caller that left in the middle of its body ended neither the response nor the count of open requests, so that a graceful stop would have waited for the longest deadline. Change: the exchange tells once that the response has ended or the caller has gone; the eight-argument methods of the callers' server became one record; a gauge shows open requests. While doing it callersThatGoAwayLeaveTheirSlotsToOthers went red (code 1006): the end handler also runs when a connection closes, before the close handler; whether the response has ended now decides.

--- a/daemon/src/main/java/org/endivetray/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/Daemon.java
@@ -109,6 +109,7 @@
                         traffic,
                         settings,
                         mView,
+                        mMetrics,
                         mRouter,
                         mStore,
                         this::isReady,
--- a/daemon/src/main/java/org/endivetray/daemon/observe/Metrics.java
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/Metrics.java
@@ -45,6 +45,8 @@
             gauge("endivetray_requests_in_flight", "Requests at minions.", "service");
     private final Gauge mWaiting =
             gauge("endivetray_requests_waiting", "Requests that wait for a slot.", "service");
+    private final Gauge mOpen =
+            gauge("endivetray_requests_open", "Requests received that have no response yet.");
     private final Gauge mPoolAvailable =
             gauge("endivetray_pool_available_workers", "Available workers.", "pool");
     private final Gauge mPoolBuffer =
@@ -101,6 +103,11 @@
         mWaiting.labelValues(service).set(waiting);
     }
 
+    /** Records the number of requests that have no response yet. */
+    public void onOpen(int requests) {
+        mOpen.set(requests);
+    }
+
     /** Records a pool's available workers and how many of them are above its floor. */
     public void onPool(String pool, int available, int buffer) {
         mPoolAvailable.labelValues(pool).set(available);
--- a/daemon/src/main/java/org/endivetray/daemon/request/CallerExchange.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/CallerExchange.java
@@ -31,6 +31,9 @@
     private final Context mContext;
     private final HttpServerRequest mRequest;
     private final boolean mClose;
+    private final Runnable mOnClosed;
+    private Runnable mOnCallerGone = () -> {};
+    private boolean mClosed;
 
     /**
      * Constructs an exchange.
@@ -38,11 +41,34 @@
      * @param context the traffic event loop, not null
      * @param request the caller's request, not null
      * @param close whether the connection ends with the response
+     * @param onClosed told once, when the response has ended or the caller has gone, not null
      */
-    CallerExchange(Context context, HttpServerRequest request, boolean close) {
+    CallerExchange(Context context, HttpServerRequest request, boolean close, Runnable onClosed) {
         mContext = context;
         mRequest = request;
         mClose = close;
+        mOnClosed = onClosed;
+        request.response().endHandler(ignored -> close());
+        request.response().closeHandler(ignored -> close());
+    }
+
+    /** Sets what is done when the caller goes away before the response has ended. */
+    void onCallerGone(Runnable action) {
+        mOnCallerGone = action;
+        if (mClosed && !mRequest.response().ended()) {
+            action.run();
+        }
+    }
+
+    private void close() {
+        if (mClosed) {
+            return;
+        }
+        mClosed = true;
+        mOnClosed.run();
+        if (!mRequest.response().ended()) {
+            mOnCallerGone.run();
+        }
     }
 
     @Override
--- a/daemon/src/main/java/org/endivetray/daemon/request/CallerServer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/CallerServer.java
@@ -20,6 +20,7 @@
 import org.endivetray.Member;
 import org.endivetray.ResultCode;
 import org.endivetray.ServiceDeclaration;
+import org.endivetray.daemon.observe.Metrics;
 import org.endivetray.daemon.settings.SettingKey;
 import org.endivetray.daemon.settings.Settings;
 import org.endivetray.daemon.state.Snapshot;
@@ -58,6 +59,7 @@
     private final Context mContext;
     private final Settings mSettings;
     private final StateView mView;
+    private final Metrics mMetrics;
     private final RequestRouter mRouter;
     private final Claims mClaims;
     private final BooleanSupplier mReady;
@@ -76,6 +78,7 @@
      * @param context the traffic event loop, not null
      * @param settings the checked settings, not null
      * @param view the stored state, not null
+     * @param metrics counts open requests, not null
      * @param router takes requests, not null
      * @param store keeps claims, not null
      * @param ready whether this daemon may take requests, not null
@@ -86,6 +89,7 @@
             Context context,
             Settings settings,
             StateView view,
+            Metrics metrics,
             RequestRouter router,
             Store store,
             BooleanSupplier ready,
@@ -94,6 +98,7 @@
         mContext = context;
         mSettings = settings;
         mView = view;
+        mMetrics = metrics;
         mRouter = router;
         mClaims = new Claims(vertx, store, settings.number(SettingKey.CLAIM_HOURS));
         mReady = ready;
@@ -172,9 +177,10 @@
             http.response().setStatusCode(mReady.getAsBoolean() ? 200 : 503).end();
             return;
         }
-        mOpen.incrementAndGet();
-        http.response().endHandler(ignored -> mOpen.decrementAndGet());
-        CallerExchange exchange = new CallerExchange(mContext, http, mClosing);
+        mMetrics.onOpen(mOpen.incrementAndGet());
+        CallerExchange exchange =
+                new CallerExchange(
+                        mContext, http, mClosing, () -> mMetrics.onOpen(mOpen.decrementAndGet()));
         Result fault = checkHead(http);
         if (fault != null) {
             exchange.end(fault);
@@ -184,7 +190,7 @@
     }
 
     private void refuseInvalid(HttpServerRequest http) {
-        new CallerExchange(mContext, http, true)
+        new CallerExchange(mContext, http, true, () -> {})
                 .end(Result.failed(ResultCode.MALFORMED_REQUEST, "not HTTP"));
     }
 
@@ -289,7 +295,7 @@
     }
 
     private void route(
-            HttpServerRequest http, CallerExchange exchange, Buffer body, long received) {
+            HttpServerRequest http, CallerExchange exchange, Buffer body, long receivedNanos) {
         Snapshot snapshot = mView.snapshot();
         String name = serviceOf(http.path());
         ServiceDeclaration service = snapshot.service(name).orElse(null);
@@ -298,84 +304,74 @@
             exchange.end(Result.failed(ResultCode.UNKNOWN_SERVICE, name));
             return;
         }
-        boolean repeatable =
-                REPEATABLE.contains(http.method())
-                        || (http.method() == HttpMethod.POST && service.repeatablePost());
-        long deadline =
-                received
-                        + TimeUnit.MILLISECONDS.toNanos(
-                                deadlineMillis(http, service.deadlineMillis()));
-        String key = http.getHeader(KEY_HEADER);
         RoutedRequest.Call call =
                 new RoutedRequest.Call(http.method(), minionUri(http, name), headers(http), body);
-        if (repeatable || key == null) {
-            RoutedRequest request =
-                    newRequest(
-                            http, service, call, member, repeatable, received, deadline, exchange);
-            submit(http, request);
+        long millis = deadlineMillis(http, service.deadlineMillis());
+        long deadlineNanos = receivedNanos + TimeUnit.MILLISECONDS.toNanos(millis);
+        Received received =
+                new Received(http, exchange, service, member, call, receivedNanos, deadlineNanos);
+        String key = http.getHeader(KEY_HEADER);
+        if (received.isRepeatable() || key == null) {
+            submit(received, exchange);
             return;
         }
-        mClaims.claim(Claims.keyOf(name, member.name(), key), deadline)
-                .onSuccess(
-                        claim ->
-                                routeClaimed(
-                                        http, service, call, member, received, deadline, exchange,
-                                        claim));
+        mClaims.claim(Claims.keyOf(name, member.name(), key), deadlineNanos)
+                .onSuccess(claim -> submitClaimed(received, claim));
     }
 
-    private void routeClaimed(
-            HttpServerRequest http,
-            ServiceDeclaration service,
-            RoutedRequest.Call call,
-            Member member,
-            long received,
-            long deadline,
-            CallerExchange exchange,
-            Claims.Claim claim) {
-        if (!claim.isHeld()) {
-            exchange.end(claim.result());
+    private void submitClaimed(Received received, Claims.Claim claim) {
+        if (claim.isHeld()) {
+            submit(received, new ClaimedSink(mClaims, claim, received.exchange()));
+        } else {
+            received.exchange().end(claim.result());
+        }
+    }
+
+    private void submit(Received received, ResultSink sink) {
+        String id = mIdPrefix + Long.toString(mNextId.incrementAndGet(), Character.MAX_RADIX);
+        RoutedRequest request = received.toRequest(id, sink);
+        if (!mRouter.submit(request)) {
+            sink.end(Result.failed(ResultCode.RING_FULL, "router"));
             return;
         }
-        ResultSink sink = new ClaimedSink(mClaims, claim, exchange);
-        submit(http, newRequest(http, service, call, member, false, received, deadline, sink));
+        received.exchange().onCallerGone(() -> mRouter.cancel(request));
     }
 
-    private RoutedRequest newRequest(
+    /**
+     * A request that was received whole and passed all checks.
+     *
+     * <p>This class is immutable; its exchange belongs to the traffic event loop.
+     */
+    private record Received(
             HttpServerRequest http,
+            CallerExchange exchange,
             ServiceDeclaration service,
-            RoutedRequest.Call call,
             Member member,
-            boolean repeatable,
-            long received,
-            long deadline,
-            ResultSink sink) {
-        String priority = http.getHeader(PRIORITY_HEADER);
-        boolean urgent = priority == null ? service.urgent() : priority.equals("urgent");
-        return new RoutedRequest(
-                mIdPrefix + Long.toString(mNextId.incrementAndGet(), 36),
-                service.name(),
-                call,
-                member,
-                urgent,
-                repeatable,
-                received,
-                deadline,
-                sink);
-    }
+            RoutedRequest.Call call,
+            long receivedNanos,
+            long deadlineNanos) {
+        boolean isRepeatable() {
+            return REPEATABLE.contains(call.method())
+                    || (call.method() == HttpMethod.POST && service.repeatablePost());
+        }
 
-    private void submit(HttpServerRequest http, RoutedRequest request) {
-        if (!mRouter.submit(request)) {
-            request.sink().end(Result.failed(ResultCode.RING_FULL, "router"));
-            return;
+        private boolean isUrgent() {
+            String priority = http.getHeader(PRIORITY_HEADER);
+            return priority == null ? service.urgent() : priority.equals("urgent");
+        }
+
+        RoutedRequest toRequest(String id, ResultSink sink) {
+            return new RoutedRequest(
+                    id,
+                    service.name(),
+                    call,
+                    member,
+                    isUrgent(),
+                    isRepeatable(),
+                    receivedNanos,
+                    deadlineNanos,
+                    sink);
         }
-        http.response()
-                .closeHandler(
-                        ignored -> {
-                            if (!http.response().ended()) {
-                                mOpen.decrementAndGet();
-                            }
-                            mRouter.cancel(request);
-                        });
     }
 
     private static String minionUri(HttpServerRequest http, String service) {
--- a/proof/src/test/java/org/endivetray/proof/RequestEdgesTest.java
+++ b/proof/src/test/java/org/endivetray/proof/RequestEdgesTest.java
@@ -114,6 +114,18 @@
         }
     }
 
+    @Test
+    void aCallerThatGoesAwayInTheMiddleOfItsBodyLeavesNothingOpen() throws Exception {
+        try (Socket socket = connect()) {
+            write(
+                    socket,
+                    "POST /s/charts/x HTTP/1.1\r\nHost: x\r\nX-Endivetray-Member: polestar\r\n"
+                            + "Content-Length: 100\r\n\r\nhalf");
+            TestSite.waitFor(() -> sSite.metric("e1", "endivetray_requests_open") > 0);
+        }
+        TestSite.waitFor(() -> sSite.metric("e1", "endivetray_requests_open") == 0);
+    }
+
     @Test
     void bytesThatAreNotHttpGetTheirNumberedError() throws Exception {
         try (Socket socket = connect()) {
--- a/proof/src/test/java/org/endivetray/proof/TestSite.java
+++ b/proof/src/test/java/org/endivetray/proof/TestSite.java
@@ -186,6 +186,15 @@
         return json(operators(daemon), "POST", uri, body);
     }
 
+    /** Returns the value of a metric without labels. */
+    double metric(String daemon, String name) {
+        return raw(operators(daemon), "GET", "/metrics", "")
+                .lines()
+                .filter(line -> line.startsWith(name + " "))
+                .mapToDouble(line -> Double.parseDouble(line.split(" ")[1]))
+                .sum();
+    }
+
     void platformFault(String query) {
         raw("127.0.0.1:" + mPlatformPort, "GET", "/fault/" + query, "");
     }
