--- /dev/null
+++ b/bench/src/main/java/org/endivetray/bench/FleetBench.java
@@ -0,0 +1,362 @@
+package org.endivetray.bench;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.apache.commons.cli.CommandLine;
+import org.endivetray.AvailabilityBudget;
+import org.endivetray.EndivetrayException;
+import org.endivetray.HostRecord;
+import org.endivetray.Intent;
+import org.endivetray.IntentKind;
+import org.endivetray.Json;
+import org.endivetray.ListedHost;
+import org.endivetray.ListedStatus;
+import org.endivetray.Plan;
+import org.endivetray.PlanStep;
+import org.endivetray.Pool;
+import org.endivetray.StepKind;
+import org.endivetray.StepState;
+import org.endivetray.daemon.state.Holds;
+import org.endivetray.policy.BudgetCheck;
+import org.endivetray.policy.FleetView;
+import org.endivetray.policy.OutageSelector;
+import org.endivetray.policy.PlanDraft;
+import org.endivetray.policy.PlanProgress;
+import org.endivetray.policy.Planner;
+import org.endivetray.policy.WavePacer;
+import org.endivetray.standin.Site;
+
+/**
+ * Measures roll-out time, moves, buffer and budgets of plans on a virtual clock.
+ *
+ * <p>The greedy baseline replaces every worker of a non-spare pool by a spare before it takes it
+ * out, and neither paces nor halts.
+ *
+ * <p>This class is not thread-safe.
+ */
+final class FleetBench {
+    private static final double SITE_TICK_SECONDS = 0.2;
+    private static final double SCALE_TICK_SECONDS = 2.5;
+    private static final double MAX_SECONDS = 7_200;
+    private static final int SCALE_POOLS = 53;
+    private static final double FAULT_AT_SECONDS = 20;
+    private static final Map<String, Double> PAUSES =
+            Map.of("kill", 3.2, "freeze", 9.0, "store-outage", 60.0);
+
+    private final CommandLine mLine;
+    private final boolean mGreedy;
+    private final String mFault;
+    private final VirtualFleet mFleet;
+    private final Set<String> mFailedRacks = new HashSet<>();
+    private final SplittableRandom mRandom;
+    private final double mTickSeconds;
+    private double mPausedUntil;
+
+    private FleetBench(CommandLine line, boolean greedy) {
+        mLine = line;
+        mGreedy = greedy;
+        mFault = line.getOptionValue("fault", "none");
+        mRandom = new SplittableRandom(Long.parseLong(line.getOptionValue("seed", "1")));
+        mFleet = build(line);
+        boolean scale = line.getOptionValue("site", "kochi").equals("scale");
+        mTickSeconds = scale ? SCALE_TICK_SECONDS : SITE_TICK_SECONDS;
+    }
+
+    static void run(CommandLine line) {
+        String policy = line.getOptionValue("policy", "all");
+        if (!policy.equals("chosen")) {
+            System.out.println(new FleetBench(line, true).measure());
+        }
+        if (!policy.equals("greedy")) {
+            System.out.println(new FleetBench(line, false).measure());
+        }
+    }
+
+    private static VirtualFleet build(CommandLine line) {
+        VirtualFleet fleet = new VirtualFleet();
+        String name = line.getOptionValue("site", "kochi");
+        if (name.equals("scale")) {
+            buildScale(fleet, Integer.parseInt(line.getOptionValue("workers", "11000")));
+            return fleet;
+        }
+        Site site = Site.ofName(name);
+        Intent setUp = site.configuration();
+        setUp.pools().forEach(fleet::addPool);
+        for (int i = 0; i < site.hosts().size(); i++) {
+            fleet.addWorker(site.hosts().get(i), setUp.joins().get(i).pool());
+        }
+        return fleet;
+    }
+
+    private static void buildScale(VirtualFleet fleet, int workers) {
+        int perPool = workers / SCALE_POOLS;
+        AvailabilityBudget budget =
+                AvailabilityBudget.ofFloor(perPool * 85 / 100)
+                        .withMaxPlannedOutages(Math.max(1, perPool / 10));
+        for (int i = 0; i < SCALE_POOLS; i++) {
+            fleet.addPool(new Pool("pool" + i, i == 0, budget, List.of()));
+        }
+        for (int i = 0; i < workers; i++) {
+            ListedHost host =
+                    new ListedHost(
+                            String.format("w%05d", i),
+                            "r" + i / 32,
+                            "z" + i * 6 / workers,
+                            32,
+                            65_536,
+                            i % 100 < 52 ? 4 : 0,
+                            ListedStatus.LIVE,
+                            List.of());
+            fleet.addWorker(host, "pool" + i % SCALE_POOLS);
+        }
+    }
+
+    private List<Intent> intents() {
+        String name = mLine.getOptionValue("intent", "wave");
+        boolean scale = mLine.getOptionValue("site", "kochi").equals("scale");
+        String site = mLine.getOptionValue("site", "kochi");
+        String rack = scale ? "r7" : site + "-r1";
+        List<String> pools = mFleet.view().pools().stream().map(Pool::name).toList();
+        String spare =
+                mFleet.view().pools().stream()
+                        .filter(Pool::spare)
+                        .findFirst()
+                        .map(Pool::name)
+                        .orElseThrow();
+        String other = pools.stream().filter(pool -> !pool.equals(spare)).findFirst().orElseThrow();
+        return switch (name) {
+            case "drain-rack" -> List.of(Intent.of(IntentKind.DRAIN_RACK, rack));
+            case "lend" -> List.of(Intent.ofLoan(2, spare, other));
+            case "mixed" ->
+                    List.of(
+                            Intent.ofLoan(2, spare, other),
+                            Intent.of(IntentKind.DRAIN_RACK, rack),
+                            Intent.of(IntentKind.WAVE, other));
+            default -> List.of(Intent.of(IntentKind.WAVE, "all"));
+        };
+    }
+
+    private String measure() {
+        double lowerBound = 0;
+        double planMillis = 0;
+        List<Plan> plans = new ArrayList<>();
+        int refused = 0;
+        for (Intent intent : intents()) {
+            if (mFault.equals("race") && !plans.isEmpty()) {
+                continue;
+            }
+            long began = System.nanoTime();
+            PlanDraft draft;
+            try {
+                draft = Planner.plan(mFleet.view(), intent);
+            } catch (EndivetrayException e) {
+                refused++;
+                continue;
+            }
+            planMillis = Math.max(planMillis, (System.nanoTime() - began) / 1e6);
+            Plan plan = plan("p-" + plans.size(), intent, draft);
+            lowerBound += lowerBound(plan);
+            plans.add(plan);
+            refused += mFault.equals("race") && isRefused(rival(), plan) ? 1 : 0;
+            runUntilEnd(List.of(plan));
+        }
+        ObjectNode json = Json.mapper().createObjectNode();
+        json.put("policy", mGreedy ? "greedy" : "chosen");
+        json.put("rolloutSeconds", Math.round(mFleet.now() * 10) / 10.0);
+        json.put("lowerBoundSeconds", lowerBound);
+        json.put("moves", mFleet.moves());
+        json.put("bufferShare", Math.round(mFleet.bufferShare() * 1e3) / 1e3);
+        json.put("budgetViolations", mFleet.violations());
+        json.put("doublePool", mFleet.doublePool());
+        json.put("refusedIntents", refused);
+        json.put("planMillis", Math.round(planMillis * 10) / 10.0);
+        json.put("storeWrites", mFleet.writes());
+        json.put("storeReads", 0);
+        json.put("heapMb", usedHeapMb());
+        return json.toString();
+    }
+
+    private static long usedHeapMb() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return (runtime.totalMemory() - runtime.freeMemory()) >> 20;
+    }
+
+    private Plan plan(String id, Intent intent, PlanDraft draft) {
+        List<PlanStep> steps = new ArrayList<>();
+        if (mGreedy && intent.kind() != IntentKind.LEND) {
+            steps.addAll(replacements(draft));
+        }
+        steps.addAll(draft.steps());
+        return Plan.ofProposal(id, "bench", intent, "", steps, draft.estimate());
+    }
+
+    /**
+     * Returns the moves of the greedy baseline: a spare for each worker, as far as there are any.
+     */
+    private List<PlanStep> replacements(PlanDraft draft) {
+        FleetView view = mFleet.view();
+        Set<String> planned = new HashSet<>();
+        draft.steps().forEach(step -> planned.add(step.worker()));
+        List<PlanStep> moves = new ArrayList<>();
+        List<HostRecord> spares = new ArrayList<>();
+        for (Pool pool : view.pools()) {
+            if (pool.spare()) {
+                spares.addAll(view.recordsOf(pool.name()));
+            }
+        }
+        spares.removeIf(spare -> planned.contains(spare.worker()));
+        for (PlanStep step : draft.steps()) {
+            boolean ofSpare = view.pool(step.fromPool()).map(Pool::spare).orElse(false);
+            if (!ofSpare && !spares.isEmpty()) {
+                HostRecord spare = spares.remove(0);
+                moves.add(
+                        PlanStep.of(
+                                spare.worker(), StepKind.MOVE, spare.pool(), step.fromPool(), 0));
+            }
+        }
+        return moves;
+    }
+
+    /** Returns whether the holds refuse a plan while another one runs. */
+    private static boolean isRefused(Plan late, Plan running) {
+        Holds holds = Holds.EMPTY.plus(running.id(), Holds.holdOf(running));
+        return holds.conflict(late.id(), Holds.holdOf(late)).isPresent();
+    }
+
+    /** Returns a second operator's plan on the same workers. */
+    private Plan rival() {
+        PlanDraft draft = Planner.plan(mFleet.view(), Intent.of(IntentKind.WAVE, "all"));
+        return Plan.ofProposal(
+                "p-rival",
+                "rival",
+                Intent.of(IntentKind.WAVE, "all"),
+                "",
+                draft.steps(),
+                draft.estimate());
+    }
+
+    private double lowerBound(Plan plan) {
+        Map<String, Integer> perPool = new TreeMap<>();
+        boolean reboots = false;
+        for (PlanStep step : plan.steps()) {
+            if (step.kind() != StepKind.MOVE || plan.intent().kind() == IntentKind.LEND) {
+                perPool.merge(step.fromPool(), 1, Integer::sum);
+                reboots |= step.kind() == StepKind.MAINTAIN;
+            }
+        }
+        double cycle = VirtualFleet.DRAIN_SECONDS + (reboots ? VirtualFleet.REBOOT_SECONDS : 0);
+        double longest = 0;
+        for (Map.Entry<String, Integer> pool : perPool.entrySet()) {
+            int atOnce = allowedAtOnce(plan, pool.getKey());
+            longest = Math.max(longest, Math.ceil((double) pool.getValue() / atOnce) * cycle);
+        }
+        return longest;
+    }
+
+    private int allowedAtOnce(Plan plan, String pool) {
+        Set<String> out = new HashSet<>();
+        for (PlanStep step : plan.steps()) {
+            if (!step.fromPool().equals(pool)) {
+                continue;
+            }
+            out.add(step.worker());
+            if (BudgetCheck.checkTakingOut(mFleet.view(), pool, out).isPresent()) {
+                return Math.max(1, out.size() - 1);
+            }
+        }
+        return Math.max(1, out.size());
+    }
+
+    private void runUntilEnd(List<Plan> plans) {
+        double began = mFleet.now();
+        Set<String> ended = new HashSet<>();
+        while (ended.size() < plans.size() && mFleet.now() - began < MAX_SECONDS) {
+            injectFault(began);
+            if (mFleet.now() >= mPausedUntil) {
+                for (Plan plan : plans) {
+                    if (!ended.contains(plan.id()) && pass(plan)) {
+                        ended.add(plan.id());
+                    }
+                }
+            }
+            mFleet.observe(mFailedRacks);
+            mFleet.advance(mTickSeconds);
+        }
+    }
+
+    /** Takes one pass over the plan, as the executor does, and returns whether it has ended. */
+    private boolean pass(Plan stored) {
+        Plan plan = markFailed(PlanProgress.derive(stored, mFleet.view()));
+        if (!mGreedy && WavePacer.mustHalt(plan.steps())) {
+            boolean quiet = plan.steps().stream().noneMatch(step -> step.state().isUnderWay());
+            mFleet.step(plan);
+            return quiet;
+        }
+        mFleet.step(plan);
+        Plan now = markFailed(PlanProgress.derive(stored, mFleet.view()));
+        if (mGreedy) {
+            takeOutGreedily(now);
+        } else {
+            OutageSelector.select(now, mFleet.view())
+                    .forEach((pool, workers) -> mFleet.takeOut(stored, pool, workers));
+        }
+        return now.isFinished();
+    }
+
+    private void takeOutGreedily(Plan plan) {
+        for (PlanStep step : plan.steps()) {
+            boolean pending = step.state() == StepState.PENDING && step.kind().takesOut();
+            boolean moving =
+                    plan.steps().stream()
+                            .anyMatch(
+                                    other ->
+                                            other.kind() == StepKind.MOVE
+                                                    && !other.state().isFinal());
+            if (pending
+                    && (step.kind() == StepKind.MOVE || !moving)
+                    && BudgetCheck.checkTakingOut(
+                                    mFleet.view(), step.fromPool(), Set.of(step.worker()))
+                            .isEmpty()) {
+                mFleet.takeOut(plan, step.fromPool(), Set.of(step.worker()));
+            }
+        }
+    }
+
+    private Plan markFailed(Plan plan) {
+        return plan.withSteps(
+                plan.steps().stream()
+                        .map(
+                                step ->
+                                        step.state() == StepState.REBOOTING
+                                                        && mFleet.fails(step.worker())
+                                                ? step.withState(StepState.FAILED)
+                                                : step)
+                        .toList());
+    }
+
+    private void injectFault(double began) {
+        double since = mFleet.now() - began;
+        boolean now = since >= FAULT_AT_SECONDS && since < FAULT_AT_SECONDS + mTickSeconds;
+        if (!now) {
+            return;
+        }
+        if (PAUSES.containsKey(mFault)) {
+            mPausedUntil = mFleet.now() + PAUSES.get(mFault);
+        } else if (mFault.equals("correlated")) {
+            List<ListedHost> hosts = mFleet.view().listedHosts();
+            String rack = hosts.get(mRandom.nextInt(hosts.size())).rack();
+            mFailedRacks.add(rack);
+            mFleet.failRack(rack);
+            hosts.stream()
+                    .filter(host -> mRandom.nextInt(4) == 0)
+                    .forEach(host -> mFleet.failReboot(host.worker()));
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/endivetray/bench/SlopesBench.java
@@ -0,0 +1,285 @@
+package org.endivetray.bench;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntFunction;
+import org.endivetray.AvailabilityBudget;
+import org.endivetray.HostRecord;
+import org.endivetray.Intent;
+import org.endivetray.IntentKind;
+import org.endivetray.Json;
+import org.endivetray.Ledger;
+import org.endivetray.ListedHost;
+import org.endivetray.ListedStatus;
+import org.endivetray.Member;
+import org.endivetray.Plan;
+import org.endivetray.Pool;
+import org.endivetray.daemon.state.HostShard;
+import org.endivetray.daemon.state.Keys;
+import org.endivetray.daemon.state.Snapshot;
+import org.endivetray.platform.Codec;
+import org.endivetray.platform.Versioned;
+import org.endivetray.policy.OutageSelector;
+import org.endivetray.policy.PlanDraft;
+import org.endivetray.policy.PlanProgress;
+import org.endivetray.policy.Planner;
+import org.endivetray.policy.SlotLedger;
+
+/**
+ * Measures how the cost of control grows with the fleet, and fits a line to each.
+ *
+ * <p>Each size is measured after a warm-up as the mean of several runs; the residual is the largest
+ * distance of a reading from the line, as a share of the largest reading.
+ *
+ * <p>This class is not thread-safe.
+ */
+final class SlopesBench {
+    private static final int[] WORKERS = {1_000, 3_000, 6_000, 11_000};
+    private static final int[] POOLS = {10, 25, 53, 106};
+    private static final int[] DAEMONS = {2, 4, 8, 16};
+    private static final int[] CHANGES = {10, 30, 100};
+    private static final int WARM_RUNS = 5;
+    private static final int RUNS = 10;
+    private static final int SHARDS = 64;
+
+    private SlopesBench() {}
+
+    static void run() {
+        time("state: read all, by workers", WORKERS, n -> () -> snapshot(n, 53));
+        time("state: take in one change, by workers", WORKERS, SlopesBench::oneChange);
+        time("state: take in one change, by pools", POOLS, SlopesBench::oneChangeOfPools);
+        time("state: take in changes at once, by changes", CHANGES, SlopesBench::changes);
+        time("hosts: take in the list, by workers", WORKERS, SlopesBench::hostList);
+        time("plan: wave over all, by workers", WORKERS, SlopesBench::planWave);
+        time("plan: one pass of a wave, by workers", WORKERS, SlopesBench::passOfWave);
+        time("slots: one report, by daemons", DAEMONS, SlopesBench::slotReport);
+        size("bytes: stored state, by workers", WORKERS, SlopesBench::storedBytes);
+        size("bytes: host list, by workers", WORKERS, SlopesBench::listBytes);
+        size("bytes: wave plan, by workers", WORKERS, SlopesBench::planBytes);
+        size("heap: state in memory, by workers", WORKERS, SlopesBench::heapBytes);
+    }
+
+    private static void time(String name, int[] sizes, IntFunction<Runnable> work) {
+        double[] micros = new double[sizes.length];
+        for (int i = 0; i < sizes.length; i++) {
+            Runnable run = work.apply(sizes[i]);
+            for (int warm = 0; warm < WARM_RUNS; warm++) {
+                run.run();
+            }
+            long began = System.nanoTime();
+            for (int counted = 0; counted < RUNS; counted++) {
+                run.run();
+            }
+            micros[i] = (System.nanoTime() - began) / 1e3 / RUNS;
+        }
+        print(name, "us", sizes, micros);
+    }
+
+    private static void size(String name, int[] sizes, IntFunction<Double> reading) {
+        double[] readings = new double[sizes.length];
+        for (int i = 0; i < sizes.length; i++) {
+            readings[i] = reading.apply(sizes[i]);
+        }
+        print(name, "bytes", sizes, readings);
+    }
+
+    /** Prints the readings, the line through them by least squares, and the residual. */
+    private static void print(String name, String unit, int[] sizes, double[] readings) {
+        double meanX = 0;
+        double meanY = 0;
+        for (int i = 0; i < sizes.length; i++) {
+            meanX += (double) sizes[i] / sizes.length;
+            meanY += readings[i] / sizes.length;
+        }
+        double top = 0;
+        double bottom = 0;
+        for (int i = 0; i < sizes.length; i++) {
+            top += (sizes[i] - meanX) * (readings[i] - meanY);
+            bottom += (sizes[i] - meanX) * (sizes[i] - meanX);
+        }
+        double slope = top / bottom;
+        double residual = 0;
+        double largest = 0;
+        ObjectNode json = Json.mapper().createObjectNode();
+        json.put("name", name);
+        json.put("unit", unit);
+        ObjectNode row = json.putObject("readings");
+        for (int i = 0; i < sizes.length; i++) {
+            double fit = meanY + slope * (sizes[i] - meanX);
+            residual = Math.max(residual, Math.abs(readings[i] - fit));
+            largest = Math.max(largest, readings[i]);
+            row.put(Integer.toString(sizes[i]), Math.round(readings[i] * 10) / 10.0);
+        }
+        json.put("slope", Math.round(slope * 1e4) / 1e4);
+        json.put("intercept", Math.round((meanY - slope * meanX) * 10) / 10.0);
+        json.put("residualShare", Math.round(residual / largest * 1e3) / 1e3);
+        System.out.println(json);
+    }
+
+    // ---- states
+
+    private static List<Versioned> values(int workers, int pools) {
+        List<Versioned> values = new ArrayList<>();
+        AvailabilityBudget budget =
+                AvailabilityBudget.ofFloor(workers / pools * 85 / 100)
+                        .withMaxPlannedOutages(Math.max(1, workers / pools / 10));
+        for (int i = 0; i < pools; i++) {
+            Pool pool = new Pool("pool" + i, i == 0, budget, List.of());
+            values.add(value(Keys.POOL + pool.name(), pool));
+            values.add(value(Keys.LEDGER + pool.name(), Ledger.ofPool(pool.name())));
+        }
+        for (int i = 0; i < 330; i++) {
+            values.add(value(Keys.MEMBER + "team" + i, new Member("team" + i, 1)));
+        }
+        Map<String, HostShard> shards = new HashMap<>();
+        for (int i = 0; i < workers; i++) {
+            String worker = String.format("w%05d", i);
+            shards.merge(
+                    Keys.hostShard(worker, SHARDS),
+                    new HostShard(Map.of(worker, HostRecord.ofActive(worker, "pool" + i % pools))),
+                    SlopesBench::join);
+        }
+        shards.forEach((key, shard) -> values.add(value(key, shard)));
+        return values;
+    }
+
+    private static HostShard join(HostShard one, HostShard other) {
+        Map<String, HostRecord> hosts = new HashMap<>(one.hosts());
+        hosts.putAll(other.hosts());
+        return new HostShard(hosts);
+    }
+
+    private static Versioned value(String key, Object value) {
+        return new Versioned(key, 1, Codec.encode(value));
+    }
+
+    private static List<ListedHost> hosts(int workers) {
+        List<ListedHost> hosts = new ArrayList<>();
+        for (int i = 0; i < workers; i++) {
+            hosts.add(
+                    new ListedHost(
+                            String.format("w%05d", i),
+                            "r" + i / 32,
+                            "z" + i * 6 / workers,
+                            32,
+                            65_536,
+                            2,
+                            ListedStatus.LIVE,
+                            List.of()));
+        }
+        return hosts;
+    }
+
+    private static Snapshot snapshot(int workers, int pools) {
+        return Snapshot.EMPTY.withValues(values(workers, pools), 1).withHosts(hosts(workers), 1);
+    }
+
+    // ---- work
+
+    private static Runnable oneChange(int workers) {
+        Snapshot snapshot = snapshot(workers, 53);
+        return () -> snapshot.withValues(List.of(changed(0, 2)), 2);
+    }
+
+    private static Runnable oneChangeOfPools(int pools) {
+        Snapshot snapshot = snapshot(3_000, pools);
+        return () -> snapshot.withValues(List.of(changed(0, 2)), 2);
+    }
+
+    private static Runnable changes(int count) {
+        Snapshot snapshot = snapshot(11_000, 53);
+        List<Versioned> values = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            values.add(changed(i, 2 + i));
+        }
+        return () -> snapshot.withValues(values, 2 + count);
+    }
+
+    private static Versioned changed(int member, long version) {
+        Member value = new Member("team" + member, 2);
+        return new Versioned(Keys.MEMBER + value.name(), version, Codec.encode(value));
+    }
+
+    private static Runnable hostList(int workers) {
+        Snapshot snapshot = snapshot(workers, 53);
+        List<ListedHost> hosts = hosts(workers);
+        return () -> snapshot.withHosts(hosts, 2);
+    }
+
+    private static Runnable planWave(int workers) {
+        Snapshot snapshot = snapshot(workers, 53);
+        return () -> Planner.plan(snapshot.fleet(), Intent.of(IntentKind.WAVE, "all"));
+    }
+
+    private static Runnable passOfWave(int workers) {
+        Snapshot snapshot = snapshot(workers, 53);
+        Plan plan = wave(snapshot);
+        return () ->
+                OutageSelector.select(
+                        PlanProgress.derive(plan, snapshot.fleet()), snapshot.fleet());
+    }
+
+    private static Plan wave(Snapshot snapshot) {
+        Intent intent = Intent.of(IntentKind.WAVE, "all");
+        PlanDraft draft = Planner.plan(snapshot.fleet(), intent);
+        return Plan.ofProposal("p-1", "bench", intent, "", draft.steps(), draft.estimate());
+    }
+
+    private static Runnable slotReport(int daemons) {
+        List<String> names = new ArrayList<>();
+        Map<String, Integer> capacity = new HashMap<>();
+        for (int i = 0; i < daemons; i++) {
+            names.add("d" + i);
+        }
+        for (int i = 0; i < 9; i++) {
+            capacity.put("m" + i, 8);
+        }
+        SlotLedger ledger = new SlotLedger(Long.MAX_VALUE, names, 1);
+        ledger.useCapacity(capacity);
+        long[] sequence = {0};
+        return () -> {
+            for (int i = 0; i < 100; i++) {
+                sequence[0]++;
+                String daemon = names.get(i % daemons);
+                Map<String, SlotLedger.Cell> cells = new HashMap<>();
+                ledger.limitsOf(daemon)
+                        .forEach(
+                                (minion, limit) ->
+                                        cells.put(minion, new SlotLedger.Cell(limit, limit)));
+                ledger.onReport(
+                        daemon, i % 7, cells, sequence[0], ledger.grantSeqOf(daemon), sequence[0]);
+            }
+        };
+    }
+
+    // ---- sizes
+
+    private static double storedBytes(int workers) {
+        return values(workers, 53).stream().mapToInt(value -> value.value().length).sum();
+    }
+
+    private static double listBytes(int workers) {
+        return Json.mapper().valueToTree(hosts(workers)).toString().length();
+    }
+
+    private static double planBytes(int workers) {
+        return Json.mapper().valueToTree(wave(snapshot(workers, 53))).toString().length();
+    }
+
+    private static double heapBytes(int workers) {
+        long before = usedHeap();
+        Snapshot snapshot = snapshot(workers, 53);
+        long used = usedHeap() - before;
+        return snapshot.revision() > 0 ? used : 0;
+    }
+
+    private static long usedHeap() {
+        System.gc();
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+}
--- a/daemon/src/main/java/org/endivetray/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/Daemon.java
@@ -155,7 +155,7 @@
 
     /** Returns whether requests may be sent here. */
     public boolean isReady() {
-        return mReleased && !mStopping && !mRouter.isHeld();
+        return mReleased && mMembership.isSettled() && !mStopping && !mRouter.isHeld();
     }
 
     private static Vertx newVertx() {
--- a/daemon/src/main/java/org/endivetray/daemon/fleet/PlanExecutor.java
+++ b/daemon/src/main/java/org/endivetray/daemon/fleet/PlanExecutor.java
@@ -32,8 +32,8 @@
 import org.endivetray.daemon.state.Snapshot;
 import org.endivetray.daemon.state.StateView;
 import org.endivetray.platform.Workers;
-import org.endivetray.policy.BudgetCheck;
 import org.endivetray.policy.FleetView;
+import org.endivetray.policy.OutageSelector;
 import org.endivetray.policy.PlanProgress;
 import org.endivetray.policy.WavePacer;
 
@@ -244,40 +244,14 @@
     /** Puts outages of steps that may start into the ledgers, as far as the budgets allow. */
     private void takeOut(Plan plan) {
         mSnapshot = mView.snapshot();
-        int stage =
-                plan.steps().stream()
-                        .filter(step -> !step.state().isFinal())
-                        .mapToInt(PlanStep::stage)
-                        .min()
-                        .orElse(0);
-        int wave = WavePacer.mayStart(plan.steps());
-        Map<String, List<String>> byPool = new TreeMap<>();
-        for (PlanStep step : plan.steps()) {
-            boolean mayStart = step.state() == StepState.PENDING && step.stage() == stage;
-            if (!mayStart || !step.kind().takesOut()) {
-                continue;
-            }
-            if (step.kind() == StepKind.MAINTAIN && wave-- <= 0) {
-                continue;
-            }
-            byPool.computeIfAbsent(step.fromPool(), name -> new ArrayList<>()).add(step.worker());
-        }
-        byPool.forEach((pool, workers) -> takeOutOf(plan, pool, workers));
+        Plan now = PlanProgress.derive(plan, mSnapshot.fleet());
+        OutageSelector.select(markFailed(now), mSnapshot.fleet())
+                .forEach((pool, workers) -> takeOutOf(plan, pool, workers));
     }
 
-    private void takeOutOf(Plan plan, String pool, List<String> workers) {
+    private void takeOutOf(Plan plan, String pool, Set<String> allowed) {
         FleetView fleet = mSnapshot.fleet();
         Ledger ledger = fleet.ledger(pool);
-        Set<String> allowed = new HashSet<>();
-        for (String worker : workers) {
-            allowed.add(worker);
-            if (BudgetCheck.checkTakingOut(fleet, pool, allowed).isPresent()) {
-                allowed.remove(worker);
-            }
-        }
-        if (allowed.isEmpty()) {
-            return;
-        }
         for (String worker : allowed) {
             ledger = ledger.plusOutage(worker, plan.id());
         }
--- a/daemon/src/main/java/org/endivetray/daemon/member/Membership.java
+++ b/daemon/src/main/java/org/endivetray/daemon/member/Membership.java
@@ -72,6 +72,8 @@
             (sender, incarnation, body) -> Future.failedFuture("not ready");
     private volatile boolean mStopping;
     private volatile int mPort;
+    private volatile boolean mSettled;
+    private long mKnownSinceNanos;
     private long mLastBeatNanos;
     private long mLastPullNanos;
 
@@ -169,9 +171,18 @@
         return mMembers.present();
     }
 
+    /**
+     * Returns whether this daemon has learnt who else is there.
+     *
+     * <p>Until then it takes itself for the only one, and must own nothing.
+     */
+    public boolean isSettled() {
+        return mSettled;
+    }
+
     /** Returns whether this daemon is on the smaller side of a split between daemons. */
     public boolean isMinority() {
-        return mMembers.isMinority();
+        return mSettled && mMembers.isMinority();
     }
 
     /** Returns the number of daemons that live but cannot be reached. */
@@ -433,6 +444,22 @@
             LOGGER.log(Level.INFO, () -> "member: live daemons changed live=" + next.live());
         }
         mMembers = next;
+        settle(snapshot, now, leased);
+    }
+
+    /** Settles once the stored peers were heard, or have been silent for long enough. */
+    private void settle(Snapshot snapshot, long now, Set<String> leased) {
+        boolean known = snapshot.revision() > 0;
+        if (mSettled || !known) {
+            return;
+        }
+        if (mKnownSinceNanos == 0) {
+            mKnownSinceNanos = now;
+        }
+        boolean allHeard =
+                leased.stream().allMatch(peer -> mPeers.get(peer).isHeard(now, mSuspectNanos));
+        boolean waited = now - mKnownSinceNanos > mSuspectNanos;
+        mSettled = waited || (allHeard && now - mKnownSinceNanos > mHeartbeatNanos);
     }
 
     private void pullIfBehind(long now) {
--- a/daemon/src/main/java/org/endivetray/daemon/slots/SlotOwner.java
+++ b/daemon/src/main/java/org/endivetray/daemon/slots/SlotOwner.java
@@ -91,7 +91,7 @@
 
     private Body grantFor(String daemon, SlotReport report) {
         String service = report.getServiceName();
-        if (!isOwner(service) || mMembership.isMinority()) {
+        if (!isOwner(service) || !mMembership.isSettled() || mMembership.isMinority()) {
             return Body.failure("not the owner of " + service);
         }
         long now = System.nanoTime();
--- a/policy/src/main/java/org/endivetray/policy/WavePacer.java
+++ b/policy/src/main/java/org/endivetray/policy/WavePacer.java
@@ -6,7 +6,8 @@
 import org.endivetray.StepState;
 
 /**
- * Paces the reboots of a wave: one worker first, then twice as many after each that came back.
+ * Paces the reboots of a wave: one worker first, then {@link #GROWTH} more for each that came back,
+ * so that a fault shows on few workers before it can reach many.
  *
  * <p>Failures in a wave are correlated, so the wave halts when the first worker fails or when
  * {@link #FAILURES_TO_HALT} workers and a tenth of those finished have failed.
@@ -18,7 +19,9 @@
     public static final int FAILURES_TO_HALT = 2;
 
     private static final double FAILED_SHARE_TO_HALT = 0.1;
-    private static final int GROWTH = 3;
+
+    /** Workers that may be out for each that came back. */
+    public static final int GROWTH = 16;
 
     private WavePacer() {}
 
@@ -35,7 +38,7 @@
                 underWay++;
             }
         }
-        int ceiling = done == 0 ? 1 : Math.max(2, done * GROWTH);
+        int ceiling = done == 0 ? 1 : done * GROWTH;
         return Math.max(0, ceiling - underWay);
     }
 
--- a/standin/src/main/java/org/endivetray/standin/CallerMain.java
+++ b/standin/src/main/java/org/endivetray/standin/CallerMain.java
@@ -90,7 +90,8 @@
 
     void run() throws Exception {
         mVertx.runOnContext(ignored -> mCallers.startBalancer());
-        runPhase(() -> turn(0, number("warm", 0)));
+        boolean isLatency = mLine.getOptionValue("mode", "count").equals("latency");
+        runPhase(() -> isLatency ? latency() : turn(0, number("warm", 0)));
         forget();
         long cpuBefore = cpuTicks();
         long innerBefore = innerMessages();
--- a/standin/src/main/java/org/endivetray/standin/Main.java
+++ b/standin/src/main/java/org/endivetray/standin/Main.java
@@ -38,6 +38,9 @@
             case "platform" -> platform(site, line);
             case "minions" -> minions(site, line);
             case "callers" -> new CallerMain(site, line).run();
+            case "config" ->
+                    new ConfigLoad(site, line)
+                            .run(Integer.parseInt(line.getOptionValue("requests", "200")));
             case "relay" -> relay(line);
             case "summary" -> System.exit(TrySummary.print(line) ? 0 : 1);
             case "site" -> Json.mapper().writeValue(out(line).toFile(), site.configuration());
