--- a/daemon/src/main/java/org/endivetray/daemon/Main.java
+++ b/daemon/src/main/java/org/endivetray/daemon/Main.java
@@ -15,6 +15,8 @@
 import org.apache.commons.cli.help.HelpFormatter;
 import org.endivetray.EndivetrayException;
 import org.endivetray.ResultCode;
+import org.endivetray.daemon.job.JobDaemon;
+import org.endivetray.daemon.job.JobSettings;
 import org.endivetray.daemon.observe.Logs;
 import org.endivetray.daemon.settings.SettingKey;
 import org.endivetray.daemon.settings.Settings;
@@ -28,6 +30,10 @@
     /** Version of this build. */
     public static final String VERSION = "0.1.0";
 
+    /** Command that schedules jobs on the users' platform. */
+    private static final String SCHEDULE = "schedule";
+
+    private static final String SETTINGS_VARIABLE = "ENDIVETRAY_BOOT";
     private static final long START_SECONDS = 30;
     private static final long STOP_SECONDS = 90;
 
@@ -62,10 +68,11 @@
                 System.out.println("endivetrayd " + VERSION);
                 return 0;
             }
-            if (!line.hasOption("settings")) {
-                throw new ParseException("missing option --settings");
+            Path file = settingsFile(line);
+            if (line.getArgList().contains(SCHEDULE)) {
+                return runScheduler(JobSettings.ofFile(file), line.hasOption("check-settings"));
             }
-            Settings settings = Settings.ofFile(Path.of(line.getOptionValue("settings")));
+            Settings settings = Settings.ofFile(file);
             if (line.hasOption("check-settings")) {
                 System.out.println("settings are valid");
                 return 0;
@@ -79,6 +86,27 @@
         }
     }
 
+    /** Returns the settings file, which the platform names in the environment. */
+    private static Path settingsFile(CommandLine line) throws ParseException {
+        String file = line.getOptionValue("settings", System.getenv(SETTINGS_VARIABLE));
+        if (file == null) {
+            throw new ParseException("missing option --settings");
+        }
+        return Path.of(file);
+    }
+
+    private static int runScheduler(JobSettings settings, boolean checkOnly) {
+        if (checkOnly) {
+            System.out.println("settings are valid");
+            return 0;
+        }
+        Logs.start(settings.logLevel());
+        JobDaemon daemon = new JobDaemon(settings);
+        daemon.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
+        return 0;
+    }
+
     private static Options options() {
         Options options = new Options();
         options.addOption("s", "settings", true, "settings file, JSON with comments");
@@ -94,7 +122,7 @@
             HelpFormatter.builder()
                     .setShowSince(false)
                     .get()
-                    .printHelp("endivetrayd --settings FILE", "", options, "", false);
+                    .printHelp("endivetrayd [schedule] --settings FILE", "", options, "", false);
         } catch (IOException e) {
             throw new EndivetrayException(ResultCode.INTERNAL, "cannot print the help", e);
         }
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -0,0 +1,244 @@
+package org.endivetray.daemon.job;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import org.endivetray.daemon.duty.Duty;
+import org.endivetray.daemon.job.front.InnerJobs;
+import org.endivetray.daemon.job.front.JobRouter;
+import org.endivetray.daemon.job.front.LocalShards;
+import org.endivetray.daemon.job.front.Peers;
+import org.endivetray.daemon.job.own.LiveView;
+import org.endivetray.daemon.job.own.LiveWatch;
+import org.endivetray.daemon.job.own.MinionDirectory;
+import org.endivetray.daemon.job.own.Ownership;
+import org.endivetray.daemon.job.own.SiteWatch;
+import org.endivetray.daemon.job.shard.ShardContext;
+import org.endivetray.daemon.job.shard.ShardLimits;
+import org.endivetray.daemon.observe.JobMetrics;
+import org.endivetray.daemon.observe.Logs;
+import org.endivetray.job.SiteConfig;
+import org.endivetray.platform.PlacementAdvice;
+import org.endivetray.platform.SharedStore;
+import org.endivetray.platform.site.SiteAdvice;
+import org.endivetray.platform.site.SiteFront;
+import org.endivetray.platform.site.SiteMinions;
+import org.endivetray.platform.site.SiteStore;
+import org.endivetray.wire.InnerServer;
+
+/**
+ * One daemon that takes jobs in and schedules the shards that it owns.
+ *
+ * <p>A stop is graceful: the daemon says that it is not ready, hands its shards over, answers what
+ * it has received and leaves.
+ *
+ * <p>Invariants: all decisions are made on the scheduler's thread.
+ *
+ * <p>This class is thread-safe.
+ */
+public final class JobDaemon {
+    private static final Logger LOGGER = System.getLogger(JobDaemon.class.getName());
+    private static final int RING_ENTRIES = 16_384;
+    private static final long TICK_MILLIS = 10;
+
+    /** Time limit of a store call. Far above its usual answer, well under a caller's patience. */
+    private static final long STORE_TIMEOUT_MILLIS = 900;
+
+    /** Time for other daemons to register at the first start of the whole system. */
+    private static final long BOOTSTRAP_SETTLE_MILLIS = 1_500;
+
+    /** Time for other daemons to register after a restart. */
+    private static final long RESTART_SETTLE_MILLIS = 400;
+
+    /** Time that the balancer needs to send new connections elsewhere. Two checks and a half. */
+    private static final long BALANCER_MILLIS = 2_500;
+
+    /** Left of the grace period for the end of the process itself. */
+    private static final long EXIT_MARGIN_MILLIS = 1_000;
+
+    private static final long STOP_POLL_MILLIS = 20;
+
+    private final JobSettings mSettings;
+    private final Vertx mVertx;
+    private final Duty mScheduler;
+    private final DutyCalls mCalls;
+    private final SharedStore mStore;
+    private final SiteWatch mSite;
+    private final LiveWatch mLive;
+    private final MinionDirectory mMinions;
+    private final Ownership mOwnership;
+    private final ShardHost mShards;
+    private final JobRouter mRouter;
+    private final SiteFront mFront;
+    private final InnerServer mInner;
+    private final MetricsServer mMetricsServer;
+
+    /**
+     * Constructs a daemon that has not been started.
+     *
+     * @param settings the checked settings, not null
+     */
+    public JobDaemon(JobSettings settings) {
+        mSettings = settings;
+        long incarnation = System.currentTimeMillis();
+        mVertx = newVertx();
+        mScheduler = new Duty("scheduler", RING_ENTRIES, TICK_MILLIS, this::tick);
+        mCalls = new DutyCalls(mVertx, mScheduler);
+        mStore =
+                new SiteStore(
+                        mVertx,
+                        settings.store().host(),
+                        settings.store().port(),
+                        STORE_TIMEOUT_MILLIS);
+        JobMetrics metrics = new JobMetrics();
+        LocalShards local = new LocalShards(mCalls);
+        Peers peers = new Peers(mVertx, settings.name(), incarnation);
+        mSite = new SiteWatch(mStore, mCalls, this::onSiteChange);
+        mLive = new LiveWatch(mStore, mCalls, () -> {});
+        mShards = new ShardHost(shardContext(metrics), local, this::ownership);
+        mMinions = new MinionDirectory(mStore, mCalls, mShards::isNeeded, this::onMinions);
+        mRouter =
+                new JobRouter(
+                        settings.name(), mSite::config, mLive::view, local, peers, mStore, metrics);
+        mFront = new SiteFront(mVertx, mRouter);
+        mInner =
+                new InnerServer(
+                        mVertx,
+                        settings.name(),
+                        incarnation,
+                        new InnerJobs(mRouter, local, mCalls));
+        mMetricsServer = new MetricsServer(mVertx, metrics);
+        LiveView.DaemonRecord self =
+                new LiveView.DaemonRecord(
+                        settings.name(), settings.host(), settings.innerPort(), incarnation, false);
+        mOwnership =
+                new Ownership(
+                        mStore,
+                        mCalls,
+                        mLive,
+                        self,
+                        settings.isBootstrap() ? BOOTSTRAP_SETTLE_MILLIS : RESTART_SETTLE_MILLIS,
+                        mShards);
+    }
+
+    private static Vertx newVertx() {
+        return Vertx.vertx(
+                new VertxOptions()
+                        .setEventLoopPoolSize(1)
+                        .setWorkerPoolSize(1)
+                        .setInternalBlockingPoolSize(1));
+    }
+
+    private ShardContext shardContext(JobMetrics metrics) {
+        JobSettings.Address advice = mSettings.advice();
+        PlacementAdvice placement =
+                advice == null ? null : new SiteAdvice(mVertx, advice.host(), advice.port());
+        return new ShardContext(
+                mStore,
+                new SiteMinions(mVertx),
+                placement,
+                mCalls,
+                metrics,
+                new ShardLimits(mSettings.maxLeaseMillis(), mSettings.retentionMillis()));
+    }
+
+    private Ownership ownership() {
+        return mOwnership;
+    }
+
+    /** Starts everything. */
+    public void start() {
+        LOGGER.log(
+                Level.INFO,
+                "daemon: starting name={0} zone={1} bootstrap={2}",
+                mSettings.name(),
+                mSettings.zone(),
+                mSettings.isBootstrap());
+        mScheduler.start();
+        Future<Integer> inner = mInner.start(mSettings.host(), mSettings.innerPort());
+        Future<Void> front =
+                mFront.start(mSettings.host(), mSettings.frontPort(), mSettings.readyPort());
+        Future<Void> metrics = mMetricsServer.start(mSettings.host(), mSettings.metricsPort());
+        Future.all(inner, front, metrics)
+                .onSuccess(
+                        ignored ->
+                                LOGGER.log(
+                                        Level.INFO,
+                                        "daemon: listens front={0} inner={1}",
+                                        Integer.toString(mFront.frontPort()),
+                                        Integer.toString(inner.result())))
+                .onFailure(cause -> LOGGER.log(Level.ERROR, "daemon: cannot listen {0}", cause));
+        mCalls.run(
+                () -> {
+                    mSite.start();
+                    mLive.start();
+                });
+    }
+
+    private void onSiteChange() {
+        SiteConfig config = mSite.config();
+        if (config == null) {
+            return;
+        }
+        Set<String> wanted = new TreeSet<>();
+        config.queues().forEach(queue -> wanted.add(queue.pool()));
+        mOwnership.want(wanted);
+    }
+
+    private void onMinions() {
+        mShards.onRegistrations(mMinions);
+    }
+
+    private void tick() {
+        long now = System.nanoTime();
+        if (mLive.view().revision() > 0) {
+            mOwnership.tick(now);
+        }
+        mMinions.ensureRunning();
+        mShards.tick(now);
+        boolean canServe = mSite.config() != null && mLive.view().revision() > 0;
+        mRouter.setReady(canServe);
+    }
+
+    /** Stops gracefully; returns when the process may end. */
+    public void stop() {
+        LOGGER.log(Level.INFO, "daemon: stopping name={0}", mSettings.name());
+        long start = System.nanoTime();
+        mRouter.markStopping();
+        mCalls.run(
+                () -> {
+                    mOwnership.stop();
+                    mOwnership.owned().forEach(mOwnership::release);
+                });
+        long latest =
+                start + TimeUnit.MILLISECONDS.toNanos(mSettings.graceMillis() - EXIT_MARGIN_MILLIS);
+        long earliest = start + TimeUnit.MILLISECONDS.toNanos(BALANCER_MILLIS);
+        while (System.nanoTime() - latest < 0) {
+            boolean isDone = mShards.isEmpty() && mFront.open() == 0;
+            if (isDone && System.nanoTime() - earliest >= 0) {
+                break;
+            }
+            pause();
+        }
+        LOGGER.log(
+                Level.INFO,
+                "daemon: stopped name={0} open={1}",
+                mSettings.name(),
+                Integer.toString(mFront.open()));
+        Logs.flush();
+        Runtime.getRuntime().halt(0);
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(STOP_POLL_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobSettings.java
@@ -0,0 +1,173 @@
+package org.endivetray.daemon.job;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.endivetray.EndivetrayException;
+import org.endivetray.Json;
+import org.endivetray.ResultCode;
+
+/**
+ * The checked settings of a daemon that schedules jobs.
+ *
+ * <p>Settings are JSON with comments; unknown keys are ignored, since the platform may add fields.
+ * All faults are found in one pass and reported together.
+ *
+ * <p>This class is immutable and thread-safe.
+ *
+ * @param name name of the daemon, not null
+ * @param zone its availability zone, not null
+ * @param host IP number on which it listens, not null
+ * @param frontPort port for callers
+ * @param readyPort port for readiness checks
+ * @param innerPort port of the inner protocol
+ * @param metricsPort port of the metrics
+ * @param store address of the shared store, not null
+ * @param machines address of the machine service, not null
+ * @param advice address of the placement advice, null if there is none
+ * @param isBootstrap whether the whole system starts for the first time
+ * @param maxLeaseMillis longest lease of what runs on a minion, in milliseconds
+ * @param holderMillis time between orders of two holders for one worker, in milliseconds
+ * @param retentionMillis time for which the state of an ended job is told, in milliseconds
+ * @param graceMillis time from the request to stop until the process is killed, in milliseconds
+ * @param logLevel least level that is logged, not null
+ */
+public record JobSettings(
+        String name,
+        String zone,
+        String host,
+        int frontPort,
+        int readyPort,
+        int innerPort,
+        int metricsPort,
+        Address store,
+        Address machines,
+        Address advice,
+        boolean isBootstrap,
+        long maxLeaseMillis,
+        long holderMillis,
+        long retentionMillis,
+        long graceMillis,
+        String logLevel) {
+    private static final int MAX_PORT = 65_535;
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    /**
+     * An address.
+     *
+     * @param host the IP number, not null
+     * @param port the port
+     */
+    public record Address(String host, int port) {}
+
+    /**
+     * Returns the settings in a file.
+     *
+     * @param file the file, not null
+     * @throws EndivetrayException with {@link ResultCode#SETTINGS_UNREADABLE} or {@link
+     *     ResultCode#INVALID_SETTINGS}
+     */
+    public static JobSettings ofFile(Path file) {
+        try {
+            return ofText(Files.readString(file));
+        } catch (IOException e) {
+            throw new EndivetrayException(
+                    ResultCode.SETTINGS_UNREADABLE, "cannot read '" + file + "'", e);
+        }
+    }
+
+    /**
+     * Returns the settings in a text.
+     *
+     * @param text JSON with comments, not null
+     * @throws EndivetrayException with {@link ResultCode#SETTINGS_UNREADABLE} or {@link
+     *     ResultCode#INVALID_SETTINGS}
+     */
+    public static JobSettings ofText(String text) {
+        JsonNode root;
+        try {
+            root = Json.mapper().readTree(text);
+        } catch (IOException e) {
+            throw new EndivetrayException(
+                    ResultCode.SETTINGS_UNREADABLE, "not JSON: " + e.getMessage(), e);
+        }
+        Reader reader = new Reader(root);
+        JobSettings settings =
+                new JobSettings(
+                        reader.text("name"),
+                        reader.text("zone"),
+                        reader.text("host"),
+                        reader.address("front").port(),
+                        reader.address("ready").port(),
+                        reader.port("innerPort"),
+                        reader.port("metricsPort"),
+                        reader.address("store"),
+                        reader.address("machines"),
+                        root.path("advice").asText().isEmpty() ? null : reader.address("advice"),
+                        root.path("bootstrap").asBoolean(),
+                        reader.positive("maxLeaseMillis", 1),
+                        reader.positive("holderMillis", 1),
+                        reader.positive("retentionSeconds", MILLIS_PER_SECOND),
+                        reader.positive("graceSeconds", MILLIS_PER_SECOND),
+                        root.path("logLevel").asText("INFO"));
+        reader.check();
+        return settings;
+    }
+
+    /** Reads values and collects faults. */
+    private static final class Reader {
+        private final JsonNode mRoot;
+        private final List<String> mFaults = new ArrayList<>();
+
+        private Reader(JsonNode root) {
+            mRoot = root;
+        }
+
+        private String text(String key) {
+            JsonNode node = mRoot.path(key);
+            if (!node.isTextual() || node.textValue().isEmpty()) {
+                mFaults.add(key + ": must be a text that is not empty: " + node);
+            }
+            return node.asText();
+        }
+
+        private int port(String key) {
+            JsonNode node = mRoot.path(key);
+            if (!node.isInt() || node.intValue() < 0 || node.intValue() > MAX_PORT) {
+                mFaults.add(key + ": must be a port, 0 to " + MAX_PORT + ": " + node);
+            }
+            return node.asInt();
+        }
+
+        private long positive(String key, long unit) {
+            JsonNode node = mRoot.path(key);
+            if (!node.isNumber() || node.doubleValue() <= 0) {
+                mFaults.add(key + ": must be a number above 0: " + node);
+            }
+            return Math.round(node.asDouble() * unit);
+        }
+
+        private Address address(String key) {
+            String text = mRoot.path(key).asText();
+            int colon = text.lastIndexOf(':');
+            if (colon > 0 && text.substring(colon + 1).matches("\\d{1,5}")) {
+                int port = Integer.parseInt(text.substring(colon + 1));
+                if (port <= MAX_PORT) {
+                    return new Address(text.substring(0, colon), port);
+                }
+            }
+            mFaults.add(key + ": must be an address, HOST:PORT: " + mRoot.path(key));
+            return new Address("", 0);
+        }
+
+        private void check() {
+            if (!mFaults.isEmpty()) {
+                throw new EndivetrayException(
+                        ResultCode.INVALID_SETTINGS, String.join("\n", mFaults));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/front/JobMessages.java
@@ -0,0 +1,81 @@
+package org.endivetray.daemon.job.front;
+
+import java.nio.ByteBuffer;
+import org.endivetray.job.JobState;
+import org.endivetray.job.QueueConfig;
+import org.endivetray.platform.site.JobAnswer;
+import org.endivetray.wire.gen.JobAction;
+import org.endivetray.wire.gen.JobReply;
+import org.endivetray.wire.gen.JobRequest;
+import org.endivetray.wire.gen.JobVerdict;
+import org.endivetray.wire.gen.QueueTerms;
+
+/**
+ * Turns requests about jobs into messages between daemons and back.
+ *
+ * <p>This class has no state and is thread-safe.
+ */
+final class JobMessages {
+    private JobMessages() {}
+
+    static JobRequest request(
+            JobAction action, QueueConfig queue, String id, byte[] body, boolean mayForward) {
+        QueueTerms terms =
+                new QueueTerms(
+                        queue.name(),
+                        queue.priority(),
+                        queue.attempts(),
+                        queue.stretch(),
+                        queue.targetLatencyMillis(),
+                        queue.placementAdvice());
+        return new JobRequest(action, queue.pool(), terms, id, ByteBuffer.wrap(body), mayForward);
+    }
+
+    /** Returns the queue as the sender knows it; where callers reach it is not passed on. */
+    static QueueConfig queue(JobRequest request) {
+        QueueTerms terms = request.getTerms();
+        return new QueueConfig(
+                terms.getQueueName(),
+                "",
+                "/",
+                request.getPoolName(),
+                terms.getPriority(),
+                terms.getAttempts(),
+                terms.getStretch(),
+                terms.getTargetLatencyMillis(),
+                terms.isPlacementAdvice());
+    }
+
+    static JobReply reply(JobAnswer answer) {
+        return new JobReply(
+                switch (answer.verdict()) {
+                    case OK -> JobVerdict.OK;
+                    case REFUSED -> JobVerdict.REFUSED;
+                    case MALFORMED -> JobVerdict.MALFORMED;
+                    case NO_SUCH_JOB -> JobVerdict.NO_SUCH_JOB;
+                    case UNKNOWN -> JobVerdict.UNKNOWN;
+                },
+                answer.state() == null ? "" : answer.state().name(),
+                answer.pending(),
+                answer.retryAfterMillis(),
+                answer.reason());
+    }
+
+    static JobReply notOwner() {
+        return new JobReply(JobVerdict.NOT_OWNER, "", -1, 0, "not the owner");
+    }
+
+    static JobAnswer answer(JobReply reply) {
+        JobAnswer.Verdict verdict =
+                switch (reply.getVerdict()) {
+                    case OK -> JobAnswer.Verdict.OK;
+                    case REFUSED -> JobAnswer.Verdict.REFUSED;
+                    case MALFORMED -> JobAnswer.Verdict.MALFORMED;
+                    case NO_SUCH_JOB -> JobAnswer.Verdict.NO_SUCH_JOB;
+                    case UNKNOWN, NOT_OWNER -> JobAnswer.Verdict.UNKNOWN;
+                };
+        JobState state = reply.getState().isEmpty() ? null : JobState.valueOf(reply.getState());
+        return new JobAnswer(
+                verdict, state, reply.getPending(), reply.getRetryAfterMillis(), reply.getReason());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/front/JobRouter.java
@@ -0,0 +1,239 @@
+package org.endivetray.daemon.job.front;
+
+import io.vertx.core.Future;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.endivetray.EndivetrayException;
+import org.endivetray.daemon.job.own.LiveView;
+import org.endivetray.daemon.observe.JobMetrics;
+import org.endivetray.job.JobSpec;
+import org.endivetray.job.QueueConfig;
+import org.endivetray.job.SiteConfig;
+import org.endivetray.platform.SharedStore;
+import org.endivetray.platform.site.JobAnswer;
+import org.endivetray.platform.site.JobAnswer.Verdict;
+import org.endivetray.platform.site.JobService;
+import org.endivetray.platform.site.SiteCodec;
+import org.endivetray.wire.gen.Body;
+import org.endivetray.wire.gen.JobAction;
+import org.endivetray.wire.gen.JobRequest;
+import org.endivetray.wire.gen.JobVerdict;
+
+/**
+ * Brings callers' requests to the owner of the pool's jobs, or to the shared store if the owner
+ * does not answer.
+ *
+ * <p>Invariants: a request that may have reached an owner without an answer is never refused.
+ *
+ * <p>This class is thread-safe.
+ */
+public final class JobRouter implements JobService {
+    private static final Logger LOGGER = System.getLogger(JobRouter.class.getName());
+
+    /** Time limit of a request to an owner. A third of the callers' usual patience. */
+    private static final long OWNER_TIMEOUT_MILLIS = 900;
+
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    private final Supplier<SiteConfig> mConfig;
+    private final Supplier<LiveView> mView;
+    private final LocalShards mLocal;
+    private final Peers mPeers;
+    private final StoredJobs mStored;
+    private final JobMetrics mMetrics;
+    private final String mName;
+    private final Map<String, Integer> mLastPending = new ConcurrentHashMap<>();
+    private volatile boolean mIsReady;
+    private volatile boolean mIsStopping;
+
+    /**
+     * Constructs a router.
+     *
+     * @param name this daemon's name, not null
+     * @param config the configuration in force, null if none is known, not null
+     * @param view the view of owners, not null
+     * @param local the shards that this daemon owns, not null
+     * @param peers the other daemons, not null
+     * @param store the shared store, not null
+     * @param metrics counters and histograms, not null
+     */
+    public JobRouter(
+            String name,
+            Supplier<SiteConfig> config,
+            Supplier<LiveView> view,
+            LocalShards local,
+            Peers peers,
+            SharedStore store,
+            JobMetrics metrics) {
+        mName = name;
+        mConfig = config;
+        mView = view;
+        mLocal = local;
+        mPeers = peers;
+        mStored = new StoredJobs(store);
+        mMetrics = metrics;
+    }
+
+    /** Sets whether new connections may be sent here. */
+    public void setReady(boolean isReady) {
+        if (mIsReady != isReady) {
+            LOGGER.log(Level.INFO, "front: ready={0}", isReady);
+        }
+        mIsReady = isReady;
+    }
+
+    /** Says that the daemon is stopping. */
+    public void markStopping() {
+        mIsStopping = true;
+    }
+
+    @Override
+    public boolean isReady() {
+        return mIsReady && !mIsStopping;
+    }
+
+    @Override
+    public boolean isStopping() {
+        return mIsStopping;
+    }
+
+    @Override
+    public QueueLookup queueAt(String host, String path) {
+        SiteConfig config = mConfig.get();
+        return config == null
+                ? new QueueLookup(false, null)
+                : new QueueLookup(true, config.queueAt(host, path).orElse(null));
+    }
+
+    @Override
+    public Future<JobAnswer> submit(QueueConfig queue, String id, byte[] body) {
+        JobSpec spec;
+        try {
+            spec = SiteCodec.job(body);
+        } catch (EndivetrayException e) {
+            LOGGER.log(Level.INFO, "front: malformed job={0} reason={1}", id, e.getMessage());
+            return Future.succeededFuture(JobAnswer.malformed(e.getMessage()));
+        }
+        return route(JobAction.SUBMIT, queue, id, body, asked -> mStored.submit(queue, id, spec));
+    }
+
+    @Override
+    public Future<JobAnswer> state(QueueConfig queue, String id) {
+        return route(JobAction.STATE, queue, id, new byte[0], asked -> mStored.state(queue, id));
+    }
+
+    @Override
+    public Future<JobAnswer> cancel(QueueConfig queue, String id) {
+        return route(JobAction.CANCEL, queue, id, new byte[0], asked -> mStored.cancel(queue, id));
+    }
+
+    @Override
+    public Future<JobAnswer> pending(QueueConfig queue) {
+        return route(JobAction.PENDING, queue, "", new byte[0], asked -> lastPending(queue))
+                .onSuccess(
+                        answer -> {
+                            if (answer.pending() >= 0) {
+                                mLastPending.put(queue.name(), answer.pending());
+                            }
+                        });
+    }
+
+    private Future<JobAnswer> lastPending(QueueConfig queue) {
+        Integer last = mLastPending.get(queue.name());
+        return Future.succeededFuture(
+                last == null
+                        ? JobAnswer.refused(RETRY_AFTER_MILLIS, "the owner does not answer")
+                        : JobAnswer.ofPending(last));
+    }
+
+    private Future<JobAnswer> route(
+            JobAction action,
+            QueueConfig queue,
+            String id,
+            byte[] body,
+            Function<Asked, Future<JobAnswer>> fallback) {
+        long start = System.nanoTime();
+        JobRequest request = JobMessages.request(action, queue, id, body, true);
+        return askOwner(request)
+                .compose(asked -> complete(action, asked, fallback))
+                .onSuccess(answer -> log(action, queue, id, answer, start));
+    }
+
+    /** Falls back to the store where the owner gave no answer or does not know the job. */
+    private Future<JobAnswer> complete(
+            JobAction action, Asked asked, Function<Asked, Future<JobAnswer>> fallback) {
+        boolean isUnknownJob =
+                asked.answer() != null && asked.answer().verdict() == Verdict.NO_SUCH_JOB;
+        if (asked.answer() != null && !isUnknownJob) {
+            return Future.succeededFuture(asked.answer());
+        }
+        return fallback.apply(asked)
+                .map(
+                        answer ->
+                                asked.mayHaveReached() && answer.verdict() == Verdict.REFUSED
+                                        ? JobAnswer.unknown(answer.reason())
+                                        : answer);
+    }
+
+    private void log(
+            JobAction action, QueueConfig queue, String id, JobAnswer answer, long startNanos) {
+        long nanos = System.nanoTime() - startNanos;
+        mMetrics.onAnswer(action.name(), answer.verdict().name(), nanos);
+        if (action == JobAction.SUBMIT
+                || action == JobAction.CANCEL
+                || answer.verdict() != Verdict.OK) {
+            LOGGER.log(
+                    Level.INFO,
+                    "front: {0} job={1} queue={2} verdict={3} micros={4} reason={5}",
+                    action.name().toLowerCase(java.util.Locale.ROOT),
+                    id,
+                    queue.name(),
+                    answer.verdict(),
+                    Long.toString(nanos / 1_000),
+                    answer.reason());
+        }
+    }
+
+    private Future<Asked> askOwner(JobRequest request) {
+        LiveView.DaemonRecord owner = mView.get().ownerOf(request.getPoolName()).orElse(null);
+        if (owner == null || owner.name().equals(mName)) {
+            return mLocal.handle(request).map(Asked::ofReply);
+        }
+        return mPeers.send(owner, Body.jobRequest(request), OWNER_TIMEOUT_MILLIS)
+                .map(body -> Asked.ofReply(body.getJobReply()))
+                .otherwise(new Asked(null, true));
+    }
+
+    /**
+     * Answers another daemon's request.
+     *
+     * @param request the request, not null
+     */
+    public Future<Body> onRequest(JobRequest request) {
+        LiveView.DaemonRecord owner = mView.get().ownerOf(request.getPoolName()).orElse(null);
+        boolean isHere = owner == null || owner.name().equals(mName) || !request.isMayForward();
+        if (isHere || mLocal.owns(request.getPoolName())) {
+            return mLocal.handle(request).map(Body::jobReply);
+        }
+        JobRequest forwarded = request.deepCopy().setMayForward(false);
+        return mPeers.send(owner, Body.jobRequest(forwarded), OWNER_TIMEOUT_MILLIS);
+    }
+
+    /**
+     * What an owner has said.
+     *
+     * @param answer the answer, null if there was none
+     * @param mayHaveReached whether the owner may have done what was asked without saying so
+     */
+    private record Asked(JobAnswer answer, boolean mayHaveReached) {
+        static Asked ofReply(org.endivetray.wire.gen.JobReply reply) {
+            return reply.getVerdict() == JobVerdict.NOT_OWNER
+                    ? new Asked(null, false)
+                    : new Asked(JobMessages.answer(reply), false);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/front/LocalShards.java
@@ -0,0 +1,101 @@
+package org.endivetray.daemon.job.front;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.Collection;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.endivetray.EndivetrayException;
+import org.endivetray.daemon.job.DutyCalls;
+import org.endivetray.daemon.job.shard.NotOwnerException;
+import org.endivetray.daemon.job.shard.Shard;
+import org.endivetray.job.QueueConfig;
+import org.endivetray.platform.site.JobAnswer;
+import org.endivetray.platform.site.SiteCodec;
+import org.endivetray.wire.gen.JobReply;
+import org.endivetray.wire.gen.JobRequest;
+
+/**
+ * The shards that this daemon owns, as asked by callers and other daemons.
+ *
+ * <p>This class is thread-safe; the shards are used on the scheduler's thread only.
+ */
+public final class LocalShards {
+    private final DutyCalls mCalls;
+    private final Map<String, Shard> mShards = new ConcurrentHashMap<>();
+
+    /**
+     * Constructs an empty set of shards.
+     *
+     * @param calls runs work on the scheduler's thread, not null
+     */
+    public LocalShards(DutyCalls calls) {
+        mCalls = calls;
+    }
+
+    /** Adds a shard, in place of an earlier one of its pool. */
+    public void put(Shard shard) {
+        mShards.put(shard.pool(), shard);
+    }
+
+    /** Removes a shard unless another one of its pool has taken its place. */
+    public void remove(Shard shard) {
+        mShards.remove(shard.pool(), shard);
+    }
+
+    /** Returns whether the pool's shard is owned. */
+    public boolean owns(String pool) {
+        return mShards.containsKey(pool);
+    }
+
+    /** Returns the pool's shard, null if it is not owned. */
+    public Shard get(String pool) {
+        return mShards.get(pool);
+    }
+
+    /** Returns all shards. */
+    public Collection<Shard> all() {
+        return mShards.values();
+    }
+
+    Future<JobReply> handle(JobRequest request) {
+        Promise<JobReply> reply = Promise.promise();
+        if (!owns(request.getPoolName())) {
+            reply.complete(JobMessages.notOwner());
+            return reply.future();
+        }
+        mCalls.run(
+                () ->
+                        ask(request)
+                                .map(JobMessages::reply)
+                                .otherwise(LocalShards::failure)
+                                .onComplete(reply));
+        return reply.future();
+    }
+
+    private Future<JobAnswer> ask(JobRequest request) {
+        Shard shard = mShards.get(request.getPoolName());
+        if (shard == null) {
+            return Future.failedFuture(new NotOwnerException(request.getPoolName()));
+        }
+        QueueConfig queue = JobMessages.queue(request);
+        try {
+            return switch (request.getAction()) {
+                case SUBMIT ->
+                        shard.submit(queue, request.getJobId(), SiteCodec.job(request.getBody()));
+                case STATE -> shard.state(request.getJobId());
+                case CANCEL -> shard.cancel(request.getJobId());
+                case PENDING -> shard.pending(queue.name());
+            };
+        } catch (EndivetrayException e) {
+            return Future.succeededFuture(JobAnswer.malformed(e.getMessage()));
+        }
+    }
+
+    private static JobReply failure(Throwable cause) {
+        if (cause instanceof NotOwnerException) {
+            return JobMessages.notOwner();
+        }
+        return JobMessages.reply(JobAnswer.unknown(String.valueOf(cause.getMessage())));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/front/Peers.java
@@ -0,0 +1,81 @@
+package org.endivetray.daemon.job.front;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import org.endivetray.daemon.job.own.LiveView.DaemonRecord;
+import org.endivetray.wire.InnerPeer;
+import org.endivetray.wire.gen.Body;
+
+/**
+ * Connections to the other daemons, one for each life of a daemon.
+ *
+ * <p>This class is thread-safe.
+ */
+public final class Peers {
+    private static final int CONNECT_TIMEOUT_MILLIS = 700;
+
+    private final Vertx mVertx;
+    private final NetClient mClient;
+    private final String mName;
+    private final long mIncarnation;
+    private final AtomicLong mSentBytes = new AtomicLong();
+    private final Map<String, Link> mLinks = new HashMap<>();
+
+    /**
+     * Constructs peers without connections.
+     *
+     * @param vertx the event loops, not null
+     * @param name this daemon's name, not null
+     * @param incarnation number of this daemon's life
+     */
+    public Peers(Vertx vertx, String name, long incarnation) {
+        mVertx = vertx;
+        mName = name;
+        mIncarnation = incarnation;
+        mClient =
+                vertx.createNetClient(
+                        new NetClientOptions()
+                                .setTcpNoDelay(true)
+                                .setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
+    }
+
+    /**
+     * Sends a message to another daemon.
+     *
+     * @param daemon the daemon, not null
+     * @param body the message, not null
+     * @param timeoutMillis time to wait for the reply, in milliseconds
+     */
+    public Future<Body> send(DaemonRecord daemon, Body body, long timeoutMillis) {
+        return link(daemon).peer().send(body, timeoutMillis);
+    }
+
+    private synchronized Link link(DaemonRecord daemon) {
+        Link link = mLinks.get(daemon.name());
+        if (link == null || link.incarnation() != daemon.incarnation()) {
+            if (link != null) {
+                link.peer().stop();
+            }
+            InnerPeer peer =
+                    new InnerPeer(
+                            mVertx,
+                            mClient,
+                            mName,
+                            mIncarnation,
+                            daemon.host(),
+                            daemon.port(),
+                            mSentBytes);
+            link = new Link(daemon.incarnation(), peer);
+            mLinks.put(daemon.name(), link);
+        }
+        return link;
+    }
+
+    /** A connection to one life of a daemon. */
+    private record Link(long incarnation, InnerPeer peer) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/front/StoredJobs.java
@@ -0,0 +1,115 @@
+package org.endivetray.daemon.job.front;
+
+import io.vertx.core.Future;
+import java.util.List;
+import org.endivetray.daemon.job.record.JobKeys;
+import org.endivetray.daemon.job.record.StoredJob;
+import org.endivetray.daemon.job.record.StoredProgress;
+import org.endivetray.job.JobSpec;
+import org.endivetray.job.JobState;
+import org.endivetray.job.QueueConfig;
+import org.endivetray.platform.Codec;
+import org.endivetray.platform.SharedStore;
+import org.endivetray.platform.SharedStore.Commit;
+import org.endivetray.platform.SharedStore.CommitOutcome;
+import org.endivetray.platform.SharedStore.Condition;
+import org.endivetray.platform.SharedStore.Write;
+import org.endivetray.platform.Versioned;
+import org.endivetray.platform.site.JobAnswer;
+
+/**
+ * Answers requests about jobs from the shared store, when their owner cannot be asked.
+ *
+ * <p>Invariants: a job is accepted only once it is stored, and refused only if the store has said
+ * that it is not.
+ *
+ * <p>This class is immutable and thread-safe.
+ */
+final class StoredJobs {
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    private final SharedStore mStore;
+
+    StoredJobs(SharedStore store) {
+        mStore = store;
+    }
+
+    /** Stores a job in its owner's place unless it is stored already. */
+    Future<JobAnswer> submit(QueueConfig queue, String id, JobSpec spec) {
+        String key = JobKeys.deputyJobs(queue.pool()) + id;
+        StoredJob stored = new StoredJob(queue.pool(), queue, spec, System.currentTimeMillis());
+        Commit commit =
+                new Commit(
+                        List.of(
+                                new Condition(key, SharedStore.ABSENT),
+                                new Condition(JobKeys.jobs(queue.pool()) + id, SharedStore.ABSENT)),
+                        List.of(new Write(key, Codec.encode(stored), SharedStore.NO_LEASE)),
+                        List.of());
+        return mStore.commit(commit)
+                .map(
+                        result ->
+                                switch (result.outcome()) {
+                                    case DONE, CONFLICT -> JobAnswer.ok();
+                                    case NOT_DONE, NO_SUCH_LEASE ->
+                                            JobAnswer.refused(
+                                                    RETRY_AFTER_MILLIS, "the store refused");
+                                    case UNKNOWN -> JobAnswer.unknown("the store did not answer");
+                                });
+    }
+
+    /** Tells the state of a job as it is stored. */
+    Future<JobAnswer> state(QueueConfig queue, String id) {
+        return mStore.read(JobKeys.progress(queue.pool()) + id)
+                .compose(
+                        progress ->
+                                progress.isPresent()
+                                        ? Future.succeededFuture(JobAnswer.ofState(state(progress)))
+                                        : exists(queue, id)
+                                                .map(
+                                                        exists ->
+                                                                exists
+                                                                        ? JobAnswer.ofState(
+                                                                                JobState.QUEUED)
+                                                                        : JobAnswer.noSuchJob()))
+                .otherwise(JobAnswer.unknown("the store did not answer"));
+    }
+
+    private static JobState state(Versioned progress) {
+        return Codec.decode(progress.key(), progress.value(), StoredProgress.class).state();
+    }
+
+    private Future<Boolean> exists(QueueConfig queue, String id) {
+        return mStore.read(JobKeys.jobs(queue.pool()) + id)
+                .compose(
+                        job ->
+                                job.isPresent()
+                                        ? Future.succeededFuture(true)
+                                        : mStore.read(JobKeys.deputyJobs(queue.pool()) + id)
+                                                .map(Versioned::isPresent));
+    }
+
+    /** Stores a cancellation in the owner's place. */
+    Future<JobAnswer> cancel(QueueConfig queue, String id) {
+        return exists(queue, id)
+                .compose(
+                        exists ->
+                                exists
+                                        ? storeCancel(queue, id)
+                                        : Future.succeededFuture(JobAnswer.noSuchJob()))
+                .otherwise(JobAnswer.unknown("the store did not answer"));
+    }
+
+    private Future<JobAnswer> storeCancel(QueueConfig queue, String id) {
+        Write write =
+                new Write(
+                        JobKeys.deputyCancels(queue.pool()) + id,
+                        new byte[] {'1'},
+                        SharedStore.NO_LEASE);
+        return mStore.commit(new Commit(List.of(), List.of(write), List.of()))
+                .map(
+                        result ->
+                                result.outcome() == CommitOutcome.DONE
+                                        ? JobAnswer.ok()
+                                        : JobAnswer.unknown("the store did not answer"));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/own/LiveWatch.java
@@ -0,0 +1,134 @@
+package org.endivetray.daemon.job.own;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashMap;
+import java.util.Map;
+import org.endivetray.EndivetrayException;
+import org.endivetray.daemon.job.DutyCalls;
+import org.endivetray.daemon.job.record.JobKeys;
+import org.endivetray.platform.Codec;
+import org.endivetray.platform.SharedStore;
+import org.endivetray.platform.Versioned;
+
+/**
+ * Follows the live daemons and the shards' owners in the shared store.
+ *
+ * <p>Invariants: the view never goes back to an earlier revision.
+ *
+ * <p>Only {@link #view} is thread-safe; the rest belongs to the scheduler's thread.
+ */
+public final class LiveWatch {
+    private static final Logger LOGGER = System.getLogger(LiveWatch.class.getName());
+
+    /** Longest wait of one watch. A third of the platform's longest. */
+    private static final long WAIT_MILLIS = 10_000;
+
+    /** Pause before a state that cannot be watched is read again. */
+    private static final long RETRY_MILLIS = 250;
+
+    private final SharedStore mStore;
+    private final DutyCalls mCalls;
+    private final Runnable mOnChange;
+    private final Map<String, Versioned> mItems = new HashMap<>();
+    private volatile LiveView mView = LiveView.EMPTY;
+    private boolean mIsStopped;
+
+    /**
+     * Constructs a watch that has not been started.
+     *
+     * @param store the shared store, not null
+     * @param calls runs results on the scheduler's thread, not null
+     * @param onChange called after each change, not null
+     */
+    public LiveWatch(SharedStore store, DutyCalls calls, Runnable onChange) {
+        mStore = store;
+        mCalls = calls;
+        mOnChange = onChange;
+    }
+
+    /** Starts to follow. */
+    public void start() {
+        list();
+    }
+
+    /** Stops following. */
+    public void stop() {
+        mIsStopped = true;
+    }
+
+    /** Returns the latest view. */
+    public LiveView view() {
+        return mView;
+    }
+
+    private void list() {
+        if (mIsStopped) {
+            return;
+        }
+        mCalls.then(
+                mStore.list(JobKeys.LIVE_PREFIX, false),
+                (range, cause) -> {
+                    if (cause != null) {
+                        LOGGER.log(Level.INFO, "state: owners not read reason={0}", cause);
+                        mCalls.later(RETRY_MILLIS, this::list);
+                        return;
+                    }
+                    mItems.clear();
+                    range.entries().forEach(item -> mItems.put(item.key(), item));
+                    publish(range.revision());
+                    watch(range.revision());
+                });
+    }
+
+    private void watch(long revision) {
+        if (mIsStopped) {
+            return;
+        }
+        mCalls.then(
+                mStore.watch(JobKeys.LIVE_PREFIX, revision, WAIT_MILLIS),
+                (range, cause) -> {
+                    if (cause != null) {
+                        mCalls.later(RETRY_MILLIS, this::list);
+                        return;
+                    }
+                    range.entries().forEach(this::apply);
+                    long next = Math.max(revision, range.revision());
+                    publish(next);
+                    watch(next);
+                });
+    }
+
+    private void apply(Versioned item) {
+        if (item.isPresent()) {
+            mItems.put(item.key(), item);
+        } else {
+            mItems.remove(item.key());
+        }
+    }
+
+    private void publish(long revision) {
+        Map<String, LiveView.DaemonRecord> daemons = new HashMap<>();
+        Map<String, LiveView.ShardOwner> owners = new HashMap<>();
+        for (Versioned item : mItems.values()) {
+            try {
+                if (item.key().startsWith(JobKeys.DAEMON_PREFIX)) {
+                    LiveView.DaemonRecord daemon =
+                            Codec.decode(item.key(), item.value(), LiveView.DaemonRecord.class);
+                    daemons.put(daemon.name(), daemon);
+                } else if (item.key().startsWith(JobKeys.OWNER_PREFIX)) {
+                    LiveView.OwnerRecord owner =
+                            Codec.decode(item.key(), item.value(), LiveView.OwnerRecord.class);
+                    owners.put(
+                            item.key().substring(JobKeys.OWNER_PREFIX.length()),
+                            new LiveView.ShardOwner(
+                                    owner.daemon(), owner.incarnation(), item.version()));
+                }
+            } catch (EndivetrayException e) {
+                LOGGER.log(Level.ERROR, "state: record left out key={0} {1}", item.key(), e);
+            }
+        }
+        mView = new LiveView(revision, daemons, owners);
+        mOnChange.run();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/own/MinionDirectory.java
@@ -0,0 +1,128 @@
+package org.endivetray.daemon.job.own;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.endivetray.daemon.job.DutyCalls;
+import org.endivetray.job.MinionInfo;
+import org.endivetray.platform.SharedStore;
+import org.endivetray.platform.Versioned;
+import org.endivetray.platform.site.SiteCodec;
+
+/**
+ * Follows the minions' registrations while this daemon owns shards.
+ *
+ * <p>This class is not thread-safe; it belongs to the scheduler's thread.
+ */
+public final class MinionDirectory {
+    private static final Logger LOGGER = System.getLogger(MinionDirectory.class.getName());
+
+    /** Longest wait of one watch. */
+    private static final long WAIT_MILLIS = 5_000;
+
+    /** Pause between watches, since registrations are rewritten all the time. */
+    private static final long PAUSE_MILLIS = 300;
+
+    private final SharedStore mStore;
+    private final DutyCalls mCalls;
+    private final BooleanSupplier mIsNeeded;
+    private final Runnable mOnChange;
+    private final Map<String, MinionInfo> mMinions = new HashMap<>();
+    private boolean mIsRunning;
+    private boolean mIsKnown;
+
+    /**
+     * Constructs a directory that knows nothing.
+     *
+     * @param store the shared store, not null
+     * @param calls runs results on the scheduler's thread, not null
+     * @param isNeeded whether this daemon owns shards, not null
+     * @param onChange called after each change, not null
+     */
+    public MinionDirectory(
+            SharedStore store, DutyCalls calls, BooleanSupplier isNeeded, Runnable onChange) {
+        mStore = store;
+        mCalls = calls;
+        mIsNeeded = isNeeded;
+        mOnChange = onChange;
+    }
+
+    /** Returns whether the registrations have been read. */
+    public boolean isKnown() {
+        return mIsKnown;
+    }
+
+    /** Starts to follow if needed and not yet under way. */
+    public void ensureRunning() {
+        if (!mIsRunning && mIsNeeded.getAsBoolean()) {
+            mIsRunning = true;
+            list();
+        }
+    }
+
+    /** Returns the registered minions of a pool. */
+    public List<MinionInfo> ofPool(String pool) {
+        return mMinions.values().stream().filter(info -> info.pool().equals(pool)).toList();
+    }
+
+    private boolean pauseIfUnneeded() {
+        if (!mIsNeeded.getAsBoolean()) {
+            mIsRunning = false;
+            mIsKnown = false;
+        }
+        return !mIsRunning;
+    }
+
+    private void list() {
+        if (pauseIfUnneeded()) {
+            return;
+        }
+        mCalls.then(
+                mStore.list(SiteCodec.MINIONS_PREFIX, false),
+                (range, cause) -> {
+                    if (cause != null) {
+                        LOGGER.log(Level.INFO, "minion: registrations not read {0}", cause);
+                        mCalls.later(PAUSE_MILLIS, this::list);
+                        return;
+                    }
+                    mMinions.clear();
+                    range.entries().forEach(this::apply);
+                    mIsKnown = true;
+                    mOnChange.run();
+                    mCalls.later(PAUSE_MILLIS, () -> watch(range.revision()));
+                });
+    }
+
+    private void watch(long revision) {
+        if (pauseIfUnneeded()) {
+            return;
+        }
+        mCalls.then(
+                mStore.watch(SiteCodec.MINIONS_PREFIX, revision, WAIT_MILLIS),
+                (range, cause) -> {
+                    if (cause != null) {
+                        mCalls.later(PAUSE_MILLIS, this::list);
+                        return;
+                    }
+                    range.entries().forEach(this::apply);
+                    if (!range.entries().isEmpty()) {
+                        mOnChange.run();
+                    }
+                    long next = Math.max(revision, range.revision());
+                    mCalls.later(PAUSE_MILLIS, () -> watch(next));
+                });
+    }
+
+    private void apply(Versioned item) {
+        MinionInfo info =
+                item.isPresent() ? SiteCodec.minion(item.key(), item.value()).orElse(null) : null;
+        if (info == null) {
+            mMinions.remove(item.key().substring(SiteCodec.MINIONS_PREFIX.length()));
+        } else {
+            mMinions.put(info.id(), info);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/own/Ownership.java
@@ -0,0 +1,353 @@
+package org.endivetray.daemon.job.own;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import org.endivetray.daemon.job.DutyCalls;
+import org.endivetray.daemon.job.record.JobKeys;
+import org.endivetray.platform.Codec;
+import org.endivetray.platform.SharedStore;
+import org.endivetray.platform.SharedStore.Commit;
+import org.endivetray.platform.SharedStore.CommitOutcome;
+import org.endivetray.platform.SharedStore.Condition;
+import org.endivetray.platform.SharedStore.Write;
+import org.endivetray.policy.job.ShardAssignment;
+
+/**
+ * Keeps this daemon's lease and takes shards that have no owner.
+ *
+ * <p>A shard is owned by whoever created its key; the key's version is the fencing token and its
+ * lease is the daemon's. While the store cannot be reached an owner goes on: minions refuse its
+ * orders as soon as another owner has asked them.
+ *
+ * <p>Invariants: a shard is reported as owned only with the version that the store has told.
+ *
+ * <p>This class is not thread-safe; it belongs to the scheduler's thread.
+ */
+public final class Ownership {
+    private static final Logger LOGGER = System.getLogger(Ownership.class.getName());
+
+    /** Time to live of the lease. Bounds the time without an owner after a crash. */
+    private static final long LEASE_MILLIS = 2_500;
+
+    /** Time between renewals. A quarter of the lease. */
+    private static final long RENEW_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
+    /** Time after which the next choice takes a shard that its first choice does not take. */
+    private static final long NEXT_CHOICE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
+
+    /** Time for which this daemon must own too many shards before it gives one up. */
+    private static final long REBALANCE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+    /** Pause before the removal of a key that failed is tried again. */
+    private static final long REMOVE_RETRY_MILLIS = 300;
+
+    private final SharedStore mStore;
+    private final DutyCalls mCalls;
+    private final LiveWatch mWatch;
+    private final Listener mListener;
+    private final long mSettleNanos;
+    private final Map<String, Long> mTokens = new HashMap<>();
+    private final Map<String, Long> mFreeSince = new HashMap<>();
+    private final Set<String> mAttempts = new HashSet<>();
+    private final Set<String> mReleasing = new HashSet<>();
+    private final Set<Long> mUsedTokens = new HashSet<>();
+    private Set<String> mWanted = Set.of();
+    private LiveView.DaemonRecord mSelf;
+    private long mLease = SharedStore.NO_LEASE;
+    private boolean mIsRegistered;
+    private boolean mIsCalling;
+    private long mNextCallNanos;
+    private long mRegisteredNanos;
+    private long mOverloadedNanos;
+
+    /** Takes note of shards won and lost. */
+    public interface Listener {
+        /** The shard is owned under the token. */
+        void onOwned(String shard, long token);
+
+        /** The shard is no longer owned. */
+        void onLost(String shard, String reason);
+
+        /** The shard is to be given up as soon as everything is stored. */
+        void onRelease(String shard);
+    }
+
+    /**
+     * Constructs an ownership that holds nothing.
+     *
+     * @param store the shared store, not null
+     * @param calls runs results on the scheduler's thread, not null
+     * @param watch the view of owners, not null
+     * @param self this daemon, not null
+     * @param settleMillis time after registration before shards are taken, in milliseconds
+     * @param listener takes note of changes, not null
+     */
+    public Ownership(
+            SharedStore store,
+            DutyCalls calls,
+            LiveWatch watch,
+            LiveView.DaemonRecord self,
+            long settleMillis,
+            Listener listener) {
+        mStore = store;
+        mCalls = calls;
+        mWatch = watch;
+        mSelf = self;
+        mSettleNanos = TimeUnit.MILLISECONDS.toNanos(settleMillis);
+        mListener = listener;
+    }
+
+    /** Sets the shards that should have an owner. */
+    public void want(Set<String> shards) {
+        mWanted = new TreeSet<>(shards);
+    }
+
+    /** Returns whether this daemon is registered under a lease. */
+    public boolean isRegistered() {
+        return mIsRegistered;
+    }
+
+    /** Returns the shards that are owned. */
+    public Set<String> owned() {
+        return Set.copyOf(mTokens.keySet());
+    }
+
+    /** Tells the others that this daemon stops, so that they take its shards. */
+    public void stop() {
+        mSelf =
+                new LiveView.DaemonRecord(
+                        mSelf.name(), mSelf.host(), mSelf.port(), mSelf.incarnation(), true);
+        mIsRegistered = false;
+        mNextCallNanos = System.nanoTime();
+    }
+
+    /** Does what is due. */
+    public void tick(long nowNanos) {
+        if (!mIsCalling && nowNanos - mNextCallNanos >= 0) {
+            if (mLease == SharedStore.NO_LEASE) {
+                createLease();
+            } else if (!mIsRegistered) {
+                register();
+            } else {
+                renew();
+            }
+        }
+        compareWithView();
+        boolean isSettled = mIsRegistered && nowNanos - mRegisteredNanos >= mSettleNanos;
+        if (isSettled && !mSelf.isStopping()) {
+            takeFree(nowNanos);
+            rebalance(nowNanos);
+        }
+    }
+
+    private void createLease() {
+        mIsCalling = true;
+        mCalls.then(
+                mStore.createLease(LEASE_MILLIS),
+                (lease, cause) -> {
+                    mIsCalling = false;
+                    if (cause == null) {
+                        mLease = lease;
+                        mNextCallNanos = System.nanoTime();
+                    } else {
+                        callAgain("lease", cause.getMessage());
+                    }
+                });
+    }
+
+    private void register() {
+        mIsCalling = true;
+        Write write = new Write(JobKeys.DAEMON_PREFIX + mSelf.name(), Codec.encode(mSelf), mLease);
+        mCalls.then(
+                mStore.commit(new Commit(List.of(), List.of(write), List.of())),
+                (result, cause) -> {
+                    mIsCalling = false;
+                    if (result.isDone()) {
+                        LOGGER.log(Level.INFO, "shard: daemon registered name={0}", mSelf.name());
+                        mIsRegistered = true;
+                        mRegisteredNanos = System.nanoTime();
+                        mNextCallNanos = mRegisteredNanos + RENEW_NANOS;
+                    } else if (result.outcome() == CommitOutcome.NO_SUCH_LEASE) {
+                        onLeaseLost();
+                    } else {
+                        callAgain("registration", result.outcome().name());
+                    }
+                });
+    }
+
+    private void renew() {
+        mIsCalling = true;
+        mCalls.then(
+                mStore.renewLease(mLease),
+                (exists, cause) -> {
+                    mIsCalling = false;
+                    if (cause != null) {
+                        callAgain("renewal", cause.getMessage());
+                    } else if (exists) {
+                        mNextCallNanos = System.nanoTime() + RENEW_NANOS;
+                    } else {
+                        onLeaseLost();
+                    }
+                });
+    }
+
+    private void callAgain(String what, String reason) {
+        LOGGER.log(Level.INFO, "shard: no {0} reason={1}", what, reason);
+        mNextCallNanos = System.nanoTime() + RENEW_NANOS / 2;
+    }
+
+    private void onLeaseLost() {
+        LOGGER.log(Level.WARNING, "shard: daemon lease lost lease={0}", Long.toString(mLease));
+        mLease = SharedStore.NO_LEASE;
+        mIsRegistered = false;
+        mNextCallNanos = System.nanoTime();
+        for (String shard : List.copyOf(mTokens.keySet())) {
+            lose(shard, "lease lost");
+        }
+    }
+
+    private void compareWithView() {
+        LiveView view = mWatch.view();
+        for (Map.Entry<String, Long> owned : Map.copyOf(mTokens).entrySet()) {
+            LiveView.ShardOwner owner = view.owners().get(owned.getKey());
+            boolean isOther = owner == null || owner.token() != owned.getValue();
+            if (isOther && view.revision() >= owned.getValue()) {
+                lose(owned.getKey(), owner == null ? "owner key gone" : "other owner");
+            }
+        }
+        mReleasing.removeIf(shard -> !mTokens.containsKey(shard) && !isMine(view, shard));
+        view.owners()
+                .forEach(
+                        (shard, owner) -> {
+                            if (isMine(view, shard) && !mTokens.containsKey(shard)) {
+                                onOwnKeyFound(shard, owner.token());
+                            }
+                        });
+    }
+
+    private boolean isMine(LiveView view, String shard) {
+        LiveView.ShardOwner owner = view.owners().get(shard);
+        return owner != null
+                && owner.daemon().equals(mSelf.name())
+                && owner.incarnation() == mSelf.incarnation();
+    }
+
+    /** Takes over a key of its own that landed late, or removes it if it was given up. */
+    private void onOwnKeyFound(String shard, long token) {
+        if (mAttempts.contains(shard) || mReleasing.contains(shard)) {
+            return;
+        }
+        if (mWanted.contains(shard) && !mSelf.isStopping() && mUsedTokens.add(token)) {
+            win(shard, token);
+        } else {
+            removeKey(shard, token);
+        }
+    }
+
+    private void takeFree(long nowNanos) {
+        LiveView view = mWatch.view();
+        Set<String> free = new TreeSet<>(mWanted);
+        free.removeAll(view.owners().keySet());
+        free.removeAll(mTokens.keySet());
+        mFreeSince.keySet().retainAll(free);
+        Map<String, List<String>> candidates =
+                ShardAssignment.candidates(free, view.ownerNames(), view.takers());
+        for (String shard : free) {
+            long since = mFreeSince.computeIfAbsent(shard, ignored -> nowNanos);
+            List<String> order = candidates.get(shard);
+            if (order.isEmpty() || mAttempts.contains(shard)) {
+                continue;
+            }
+            int choice = (int) ((nowNanos - since) / NEXT_CHOICE_NANOS) % order.size();
+            if (order.get(choice).equals(mSelf.name())) {
+                take(shard);
+            }
+        }
+    }
+
+    private void take(String shard) {
+        mAttempts.add(shard);
+        String key = JobKeys.OWNER_PREFIX + shard;
+        byte[] value = Codec.encode(new LiveView.OwnerRecord(mSelf.name(), mSelf.incarnation()));
+        Commit commit =
+                new Commit(
+                        List.of(new Condition(key, SharedStore.ABSENT)),
+                        List.of(new Write(key, value, mLease)),
+                        List.of());
+        mCalls.then(
+                mStore.commit(commit),
+                (result, cause) -> {
+                    mAttempts.remove(shard);
+                    if (result.isDone()) {
+                        win(shard, result.revision());
+                    } else if (result.outcome() == CommitOutcome.NO_SUCH_LEASE) {
+                        onLeaseLost();
+                    }
+                });
+    }
+
+    private void win(String shard, long token) {
+        LOGGER.log(Level.INFO, "shard: taken shard={0} token={1}", shard, Long.toString(token));
+        mUsedTokens.add(token);
+        mTokens.put(shard, token);
+        mListener.onOwned(shard, token);
+    }
+
+    private void lose(String shard, String reason) {
+        mTokens.remove(shard);
+        mReleasing.remove(shard);
+        mListener.onLost(shard, reason);
+    }
+
+    private void rebalance(long nowNanos) {
+        LiveView view = mWatch.view();
+        boolean isOverloaded =
+                ShardAssignment.isOverloaded(mSelf.name(), view.ownerNames(), view.takers())
+                        && view.owners().size() >= mWanted.size();
+        if (!isOverloaded) {
+            mOverloadedNanos = nowNanos;
+        } else if (nowNanos - mOverloadedNanos >= REBALANCE_NANOS && mReleasing.isEmpty()) {
+            mOverloadedNanos = nowNanos;
+            new TreeSet<>(mTokens.keySet()).stream().findFirst().ifPresent(this::release);
+        }
+    }
+
+    /** Starts to give a shard up. */
+    public void release(String shard) {
+        if (mTokens.containsKey(shard) && mReleasing.add(shard)) {
+            LOGGER.log(Level.INFO, "shard: giving up shard={0}", shard);
+            mListener.onRelease(shard);
+        }
+    }
+
+    /**
+     * Removes the owner's key of a shard that no longer does anything.
+     *
+     * @param shard the shard, not null
+     * @param token the token under which it was owned
+     */
+    public void onReleased(String shard, long token) {
+        mTokens.remove(shard, token);
+        removeKey(shard, token);
+    }
+
+    private void removeKey(String shard, long token) {
+        String key = JobKeys.OWNER_PREFIX + shard;
+        mReleasing.add(shard);
+        mCalls.then(
+                mStore.commit(
+                        new Commit(List.of(new Condition(key, token)), List.of(), List.of(key))),
+                (result, cause) -> {
+                    if (!result.isDone()) {
+                        mCalls.later(REMOVE_RETRY_MILLIS, () -> mReleasing.remove(shard));
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/own/SiteWatch.java
@@ -0,0 +1,148 @@
+package org.endivetray.daemon.job.own;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashMap;
+import java.util.Map;
+import org.endivetray.daemon.job.DutyCalls;
+import org.endivetray.job.SiteConfig;
+import org.endivetray.job.WaveRequest;
+import org.endivetray.platform.SharedStore;
+import org.endivetray.platform.Versioned;
+import org.endivetray.platform.site.SiteCodec;
+
+/**
+ * Follows what operators write: the configuration and the maintenance waves.
+ *
+ * <p>Invariants: a configuration is never replaced by an earlier version.
+ *
+ * <p>{@link #config} and {@link #waves} are thread-safe; the rest belongs to the scheduler's
+ * thread.
+ */
+public final class SiteWatch {
+    private static final Logger LOGGER = System.getLogger(SiteWatch.class.getName());
+
+    /** Longest wait of one watch. A third of the platform's longest. */
+    private static final long WAIT_MILLIS = 10_000;
+
+    /** Pause before a state that cannot be watched is read again. */
+    private static final long RETRY_MILLIS = 200;
+
+    private final SharedStore mStore;
+    private final DutyCalls mCalls;
+    private final Runnable mOnChange;
+    private volatile SiteConfig mConfig;
+    private volatile Map<Long, WaveRequest> mWaves = Map.of();
+    private boolean mIsStopped;
+
+    /**
+     * Constructs a watch that has not been started.
+     *
+     * @param store the shared store, not null
+     * @param calls runs results on the scheduler's thread, not null
+     * @param onChange called after each change, not null
+     */
+    public SiteWatch(SharedStore store, DutyCalls calls, Runnable onChange) {
+        mStore = store;
+        mCalls = calls;
+        mOnChange = onChange;
+    }
+
+    /** Starts to follow. */
+    public void start() {
+        list();
+    }
+
+    /** Stops following. */
+    public void stop() {
+        mIsStopped = true;
+    }
+
+    /** Returns the configuration in force, null if none is known. */
+    public SiteConfig config() {
+        return mConfig;
+    }
+
+    /** Returns the maintenance waves by number. */
+    public Map<Long, WaveRequest> waves() {
+        return mWaves;
+    }
+
+    private void list() {
+        if (mIsStopped) {
+            return;
+        }
+        mCalls.then(
+                mStore.list(SiteCodec.OPERATORS_PREFIX, false),
+                (range, cause) -> {
+                    if (cause != null) {
+                        LOGGER.log(Level.INFO, "config: not read reason={0}", cause);
+                        mCalls.later(RETRY_MILLIS, this::list);
+                        return;
+                    }
+                    apply(range);
+                    watch(range.revision());
+                });
+    }
+
+    private void watch(long revision) {
+        if (mIsStopped) {
+            return;
+        }
+        mCalls.then(
+                mStore.watch(SiteCodec.OPERATORS_PREFIX, revision, WAIT_MILLIS),
+                (range, cause) -> {
+                    if (cause != null) {
+                        mCalls.later(RETRY_MILLIS, this::list);
+                        return;
+                    }
+                    apply(range);
+                    watch(Math.max(revision, range.revision()));
+                });
+    }
+
+    private void apply(SharedStore.Range range) {
+        if (range.entries().isEmpty()) {
+            return;
+        }
+        for (Versioned item : range.entries()) {
+            if (!item.isPresent()) {
+                continue;
+            }
+            if (item.key().equals(SiteCodec.CONFIG_KEY)) {
+                SiteCodec.config(item.value()).ifPresent(this::applyConfig);
+            } else if (item.key().startsWith(SiteCodec.WAVES_PREFIX)) {
+                SiteCodec.wave(item.value()).ifPresent(this::applyWave);
+            }
+        }
+        mOnChange.run();
+    }
+
+    private void applyConfig(SiteConfig config) {
+        if (mConfig != null && config.version() <= mConfig.version()) {
+            return;
+        }
+        LOGGER.log(
+                Level.INFO,
+                "config: in force version={0} queues={1} pools={2}",
+                Long.toString(config.version()),
+                Integer.toString(config.queues().size()),
+                Integer.toString(config.pools().size()));
+        mConfig = config;
+    }
+
+    private void applyWave(WaveRequest wave) {
+        if (!wave.equals(mWaves.get(wave.number()))) {
+            LOGGER.log(
+                    Level.INFO,
+                    "wave: requested wave={0} workers={1} atOnce={2} within={3}ms",
+                    Long.toString(wave.number()),
+                    Integer.toString(wave.workers().size()),
+                    Integer.toString(wave.maxAtOnce()),
+                    Long.toString(wave.durationMillis()));
+        }
+        Map<Long, WaveRequest> waves = new HashMap<>(mWaves);
+        waves.put(wave.number(), wave);
+        mWaves = Map.copyOf(waves);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/record/JobKeys.java
@@ -0,0 +1,53 @@
+package org.endivetray.daemon.job.record;
+
+/**
+ * The keys under which daemons keep jobs and ownership in the shared store.
+ *
+ * <p>docs/STATE.md lists writer, condition and lifetime of each.
+ *
+ * <p>This class has no state and is thread-safe.
+ */
+public final class JobKeys {
+    /** Prefix of all keys that exist only as long as a daemon's lease. */
+    public static final String LIVE_PREFIX = "endivetray/live/";
+
+    /** Prefix of the daemons' addresses. */
+    public static final String DAEMON_PREFIX = LIVE_PREFIX + "daemon/";
+
+    /** Prefix of the shards' owners. */
+    public static final String OWNER_PREFIX = LIVE_PREFIX + "owner/";
+
+    private static final String POOL_PREFIX = "endivetray/pool/";
+
+    private JobKeys() {}
+
+    /** Returns the prefix of jobs that the pool's owner has accepted. */
+    public static String jobs(String pool) {
+        return POOL_PREFIX + pool + "/job/";
+    }
+
+    /** Returns the prefix of jobs that other daemons have accepted in the owner's place. */
+    public static String deputyJobs(String pool) {
+        return deputy(pool) + "job/";
+    }
+
+    /** Returns the prefix of cancellations that other daemons have stored. */
+    public static String deputyCancels(String pool) {
+        return deputy(pool) + "cancel/";
+    }
+
+    /** Returns the prefix of all that other daemons have stored in the owner's place. */
+    public static String deputy(String pool) {
+        return POOL_PREFIX + pool + "/deputy/";
+    }
+
+    /** Returns the prefix of the jobs' progress. */
+    public static String progress(String pool) {
+        return POOL_PREFIX + pool + "/progress/";
+    }
+
+    /** Returns the key of the minions that may hold runs of the pool. */
+    public static String minions(String pool) {
+        return POOL_PREFIX + pool + "/minions";
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -0,0 +1,265 @@
+package org.endivetray.daemon.job.shard;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.endivetray.job.StepSpec;
+import org.endivetray.policy.job.DurationModel;
+import org.endivetray.policy.job.JobRank;
+
+/**
+ * Chooses which waiting tasks start next and on which minions.
+ *
+ * <p>This class is not thread-safe; it belongs to the scheduler's thread.
+ */
+final class Dispatcher {
+    /** Most starts under way at one minion. Below the connections to a minion. */
+    private static final int MAX_STARTS_IN_FLIGHT = 24;
+
+    /** Most minions named in one question to the placement advice. Few are answered sooner. */
+    private static final int ADVICE_BATCH = 12;
+
+    /** Taken off the validity of a ticket for the way of the order. */
+    private static final long TICKET_MARGIN_MILLIS = 300;
+
+    private final ShardContext mContext;
+    private final ShardState mState;
+    private final TaskFlow mFlow;
+    private final DurationModel mDurations;
+
+    Dispatcher(ShardContext context, ShardState state, TaskFlow flow, DurationModel durations) {
+        mContext = context;
+        mState = state;
+        mFlow = flow;
+        mDurations = durations;
+    }
+
+    /** Starts what can be started. */
+    void run(long nowNanos) {
+        long nowMillis = System.currentTimeMillis();
+        List<Candidate> candidates = new ArrayList<>();
+        for (JobEntry job : mState.mActive.values()) {
+            collect(job, nowNanos, nowMillis, candidates);
+        }
+        candidates.sort(Comparator.comparing(Candidate::rank));
+        int waiting = 0;
+        for (Candidate candidate : candidates) {
+            waiting += place(candidate.step(), nowNanos);
+        }
+        mContext.metrics().onWaiting(mState.mPool, waiting);
+    }
+
+    private void collect(
+            JobEntry job, long nowNanos, long nowMillis, Collection<Candidate> candidates) {
+        for (List<StepEntry> steps : job.mOccurrences) {
+            for (StepEntry step : steps) {
+                if (step.mWaiting > 0 && job.isReady(step, nowMillis)) {
+                    candidates.add(new Candidate(step, rank(step, steps, nowNanos, nowMillis)));
+                }
+            }
+        }
+    }
+
+    private JobRank rank(StepEntry step, List<StepEntry> steps, long nowNanos, long nowMillis) {
+        JobEntry job = step.mJob;
+        long[] chains = new long[steps.size()];
+        long whole = 0;
+        long remaining = 0;
+        double work = 0;
+        for (StepEntry each : steps) {
+            long before = 0;
+            for (int earlier : each.mSpec.after()) {
+                before = Math.max(before, chains[earlier]);
+            }
+            long expected = expectedMillis(each);
+            chains[each.mNumber] = before + expected;
+            whole = Math.max(whole, chains[each.mNumber]);
+            if (!each.isDone()) {
+                remaining += expected;
+                work +=
+                        (each.mTasks.size() - each.mDone)
+                                * (expected / 1e3)
+                                * (each.mSpec.cpuMillis() / 1e3);
+            }
+        }
+        long ageMillis =
+                job.mStored.spec().isScheduled()
+                        ? nowMillis - job.mStored.spec().dueMillis(step.mOccurrence)
+                        : TimeUnit.NANOSECONDS.toMillis(nowNanos - job.mAcceptedNanos);
+        long objective =
+                Math.round(job.mStored.queue().stretch() * whole)
+                        + job.mStored.queue().targetLatencyMillis();
+        return JobRank.of(
+                step.mSpec.longRunning(),
+                step.mSpec.fills(),
+                job.mStored.queue().priority(),
+                objective - ageMillis - remaining,
+                ageMillis,
+                work);
+    }
+
+    private long expectedMillis(StepEntry step) {
+        return mDurations.expectedMillis(
+                step.mJob.mStored.queue().name() + "/" + step.mNumber, step.mSpec.estimateMillis());
+    }
+
+    /** Starts tasks of a step and returns how many are left waiting. */
+    private int place(StepEntry step, long nowNanos) {
+        if (step.mSpec.gang()) {
+            return placeGang(step, nowNanos);
+        }
+        int waiting = 0;
+        boolean hasRoom = true;
+        for (TaskEntry task : step.mTasks) {
+            if (task.mPhase != TaskPhase.WAITING) {
+                continue;
+            }
+            boolean mayStart =
+                    nowNanos - task.mNotBeforeNanos >= 0 && !mState.mayRunElsewhere(task, nowNanos);
+            MinionSession minion = hasRoom && mayStart ? choose(step, nowNanos) : null;
+            if (minion != null) {
+                mFlow.start(task, minion, ticket(step, minion, nowNanos));
+            } else {
+                waiting++;
+                hasRoom &= !mayStart;
+            }
+        }
+        return waiting;
+    }
+
+    private int placeGang(StepEntry step, long nowNanos) {
+        List<TaskEntry> waiting = new ArrayList<>();
+        for (TaskEntry task : step.mTasks) {
+            boolean mayStart =
+                    task.mPhase == TaskPhase.WAITING
+                            && nowNanos - task.mNotBeforeNanos >= 0
+                            && !mState.mayRunElsewhere(task, nowNanos);
+            if (mayStart) {
+                waiting.add(task);
+            }
+        }
+        if (waiting.size() < step.mTasks.size()) {
+            return step.mWaiting;
+        }
+        List<MinionSession> places = new ArrayList<>();
+        int run = 0;
+        String checkpoint = "";
+        for (TaskEntry task : waiting) {
+            MinionSession minion = choose(step, nowNanos);
+            if (minion == null) {
+                break;
+            }
+            minion.assign(task);
+            places.add(minion);
+            run = Math.max(run, task.mRun);
+            checkpoint = checkpoint.isEmpty() ? task.mCheckpoint : checkpoint;
+        }
+        for (int i = 0; i < places.size(); i++) {
+            places.get(i).release(waiting.get(i));
+        }
+        if (places.size() < waiting.size()) {
+            return step.mWaiting;
+        }
+        for (int i = 0; i < places.size(); i++) {
+            TaskEntry task = waiting.get(i);
+            task.mRun = run;
+            task.mCheckpoint = checkpoint;
+            mFlow.start(task, places.get(i), ticket(step, places.get(i), nowNanos));
+        }
+        return 0;
+    }
+
+    private static String ticket(StepEntry step, MinionSession minion, long nowNanos) {
+        return step.mAdvice == null ? "" : step.mAdvice.ticket(minion.id(), nowNanos);
+    }
+
+    private MinionSession choose(StepEntry step, long nowNanos) {
+        boolean isAdvised =
+                step.mJob.mStored.queue().placementAdvice() && mContext.advice() != null;
+        if (isAdvised && step.mAdvice == null) {
+            step.mAdvice = new AdviceState();
+        }
+        MinionSession best = null;
+        double bestScore = Double.NEGATIVE_INFINITY;
+        List<String> unasked = new ArrayList<>();
+        for (MinionSession minion : mState.mMinions.values()) {
+            if (!isEligible(step, minion, nowNanos)) {
+                continue;
+            }
+            if (isAdvised && ticket(step, minion, nowNanos).isEmpty()) {
+                if (!step.mAdvice.wasAsked(minion.id())) {
+                    unasked.add(minion.id());
+                }
+                continue;
+            }
+            double score = score(step, minion);
+            if (score > bestScore) {
+                best = minion;
+                bestScore = score;
+            }
+        }
+        if (best == null && isAdvised && !unasked.isEmpty() && !step.mAdvice.isAsking()) {
+            askAdvice(step, unasked.subList(0, Math.min(ADVICE_BATCH, unasked.size())));
+        }
+        return best;
+    }
+
+    private static boolean isEligible(StepEntry step, MinionSession minion, long nowNanos) {
+        StepSpec spec = step.mSpec;
+        return minion.isOpen(nowNanos)
+                && minion.mStartsInFlight < MAX_STARTS_IN_FLIGHT
+                && minion.fits(spec)
+                && (spec.requiredLabel().isEmpty()
+                        || minion.info().labels().contains(spec.requiredLabel()))
+                && (spec.maxPerMinion() == 0 || step.countOn(minion) < spec.maxPerMinion());
+    }
+
+    /** Returns how well a minion suits a step; the fullest that still fits, near its data. */
+    private static double score(StepEntry step, MinionSession minion) {
+        StepSpec spec = step.mSpec;
+        double free = minion.freeCpuMillis() / (double) Math.max(1, minion.info().cpuMillis());
+        if (spec.fills()) {
+            return free - servingTasks(minion);
+        }
+        if (spec.serves()) {
+            return -servingTasks(minion) - free;
+        }
+        boolean isNear =
+                spec.dataRack().isEmpty() || minion.info().labels().contains(spec.dataRack());
+        return (isNear ? 2 : 0) - free;
+    }
+
+    private static int servingTasks(MinionSession minion) {
+        int serving = 0;
+        for (TaskEntry task : minion.tasks().values()) {
+            if (task.mStep.mSpec.serves()) {
+                serving++;
+            }
+        }
+        return serving;
+    }
+
+    private void askAdvice(StepEntry step, List<String> minions) {
+        List<String> asked = List.copyOf(minions);
+        step.mAdvice.onAsked(asked);
+        mContext.calls()
+                .then(
+                        mContext.advice().ask(step.mName, asked),
+                        (advice, cause) -> {
+                            if (cause != null) {
+                                step.mAdvice.onNoAnswer();
+                            } else {
+                                long valid = advice.validMillis() - TICKET_MARGIN_MILLIS;
+                                step.mAdvice.onAnswer(
+                                        advice.tickets(),
+                                        System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(valid));
+                            }
+                            mState.mNeedsDispatch = true;
+                        });
+    }
+
+    /** A step with waiting tasks. */
+    private record Candidate(StepEntry step, JobRank rank) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Drains.java
@@ -0,0 +1,61 @@
+package org.endivetray.daemon.job.shard;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Empties minions before planned outages without making more tasks of a step unavailable than it
+ * allows.
+ *
+ * <p>This class is not thread-safe; it belongs to the scheduler's thread.
+ */
+final class Drains {
+    /** Time for which a request holds. Several times the interval at which it is repeated. */
+    private static final long REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+
+    private final ShardState mState;
+    private final TaskFlow mFlow;
+
+    Drains(ShardState state, TaskFlow flow) {
+        mState = state;
+        mFlow = flow;
+    }
+
+    /** Asks for a minion to be emptied and returns whether it is. */
+    boolean request(String id, boolean isUrgent) {
+        MinionSession minion = mState.mMinions.get(id);
+        if (minion == null) {
+            return true;
+        }
+        minion.mDrainUntilNanos = System.nanoTime() + REQUEST_NANOS;
+        minion.mIsDrainUrgent = isUrgent;
+        return minion.tasks().isEmpty();
+    }
+
+    void tick(long nowNanos) {
+        for (MinionSession minion : mState.mMinions.values()) {
+            if (minion.isAskedToDrain(nowNanos) || minion.info().draining()) {
+                moveAway(minion, nowNanos);
+            }
+        }
+    }
+
+    private void moveAway(MinionSession minion, long nowNanos) {
+        for (TaskEntry task : List.copyOf(minion.tasks().values())) {
+            if (task.mPhase != TaskPhase.RUNNING) {
+                continue;
+            }
+            boolean lasts = task.mStep.mSpec.longRunning();
+            if (lasts && mayStop(task)) {
+                mFlow.stop(task, "drain");
+            } else if (!lasts && minion.mIsDrainUrgent && minion.isAskedToDrain(nowNanos)) {
+                mFlow.stop(task, "drain");
+            }
+        }
+    }
+
+    private static boolean mayStop(TaskEntry task) {
+        return task.mStep.unavailable() + (task.isAtWork() ? 1 : 0)
+                <= task.mStep.mSpec.maxUnavailable();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/HoldLoop.java
@@ -0,0 +1,305 @@
+package org.endivetray.daemon.job.shard;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.endivetray.job.MinionInfo;
+import org.endivetray.platform.MinionOrders.EndedTask;
+import org.endivetray.platform.MinionOrders.Listing;
+import org.endivetray.platform.MinionOrders.OrderOutcome;
+import org.endivetray.platform.MinionOrders.RunningTask;
+
+/**
+ * Keeps the leases of a shard's minions and compares what they list with what is believed.
+ *
+ * <p>Invariants: at most one listing of a minion is under way; the number of the last seen end is
+ * raised only once what the ends changed is stored.
+ *
+ * <p>This class is not thread-safe; it belongs to the scheduler's thread.
+ */
+final class HoldLoop {
+    private static final Logger LOGGER = System.getLogger(HoldLoop.class.getName());
+
+    /** Time that a minion with tasks may wait for an end. A fraction of the lease. */
+    private static final int WAIT_BUSY_MILLIS = 1_000;
+
+    /** Time that a minion without tasks may wait. The platform's longest. */
+    private static final int WAIT_IDLE_MILLIS = 2_000;
+
+    /** Pause after a listing that was not answered. */
+    private static final long SILENT_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /** Pause before ends that are not stored yet are listed again, as while the store is away. */
+    private static final long UNSTORED_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+    /** Time for which a minion without a registration is kept. The platform's time of return. */
+    private static final long UNLISTED_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
+    /** Most ends in one listing. From the platform's protocol. */
+    private static final int MAX_ENDS = 500;
+
+    private final ShardContext mContext;
+    private final ShardState mState;
+    private final Journal mJournal;
+    private final TaskFlow mFlow;
+    private final Runnable mOnFenced;
+
+    HoldLoop(
+            ShardContext context,
+            ShardState state,
+            Journal journal,
+            TaskFlow flow,
+            Runnable onFenced) {
+        mContext = context;
+        mState = state;
+        mJournal = journal;
+        mFlow = flow;
+        mOnFenced = onFenced;
+    }
+
+    /** Takes note of the minions that are registered now. */
+    void onRegistrations(List<MinionInfo> minions) {
+        long now = System.nanoTime();
+        Set<String> listed = new HashSet<>();
+        for (MinionInfo info : minions) {
+            listed.add(info.id());
+            MinionSession session = mState.mMinions.get(info.id());
+            if (session == null) {
+                session = new MinionSession(info);
+                mState.mMinions.put(info.id(), session);
+                LOGGER.log(
+                        Level.INFO,
+                        "minion: found minion={0} pool={1} cpu={2}",
+                        info.id(),
+                        info.pool(),
+                        Integer.toString(info.cpuMillis()));
+            }
+            if (session.info().draining() != info.draining()) {
+                LOGGER.log(Level.INFO, "minion: draining minion={0}", info.id());
+            }
+            session.updateInfo(info);
+            session.mIsListed = true;
+        }
+        for (MinionSession session : mState.mMinions.values()) {
+            if (session.mIsListed && !listed.contains(session.id())) {
+                session.mIsListed = false;
+                session.mUnlistedNanos = now;
+            }
+        }
+    }
+
+    /** Sends the listings that are due and gives up minions that are gone. */
+    void tick(long nowNanos) {
+        for (MinionSession session : List.copyOf(mState.mMinions.values())) {
+            if (!session.mIsAnswering && session.mHasAnswered && session.hasLapsed(nowNanos)) {
+                loseAll(session, "lease ended");
+            }
+            boolean isGone =
+                    !session.mIsListed
+                            && !session.mIsAnswering
+                            && session.tasks().isEmpty()
+                            && nowNanos - session.mUnlistedNanos >= UNLISTED_NANOS;
+            if (isGone) {
+                LOGGER.log(Level.INFO, "minion: gone minion={0}", session.id());
+                mState.mMinions.remove(session.id());
+                continue;
+            }
+            if (!session.mIsHolding && nowNanos - session.mNextHoldNanos >= 0) {
+                hold(session, nowNanos);
+            }
+        }
+    }
+
+    private void hold(MinionSession session, long nowNanos) {
+        session.mIsHolding = true;
+        boolean isFirst = !session.mIsAnswering || !session.hasClock();
+        boolean hasUnstored = session.mProcessedEnd > session.mStoredEnd;
+        int wait = session.tasks().isEmpty() ? WAIT_IDLE_MILLIS : WAIT_BUSY_MILLIS;
+        int waitMillis = isFirst || hasUnstored ? 0 : wait;
+        mContext.calls()
+                .then(
+                        mContext.minions()
+                                .hold(
+                                        session.info(),
+                                        session.holdOrder(
+                                                mContext.limits().maxLeaseMillis(),
+                                                waitMillis,
+                                                mState.mToken,
+                                                nowNanos)),
+                        (listing, cause) -> onListing(session, listing, nowNanos));
+    }
+
+    private void onListing(MinionSession session, Listing listing, long sentNanos) {
+        session.mIsHolding = false;
+        long now = System.nanoTime();
+        if (listing.outcome() == OrderOutcome.FENCED) {
+            mOnFenced.run();
+            return;
+        }
+        if (listing.outcome() != OrderOutcome.DONE) {
+            onSilent(session, listing.outcome(), now);
+            return;
+        }
+        boolean wasFirst = !session.mHasAnswered;
+        if (!session.mIsAnswering) {
+            LOGGER.log(
+                    Level.INFO,
+                    "minion: answers minion={0} running={1} ends={2}",
+                    session.id(),
+                    Integer.toString(listing.running().size()),
+                    Integer.toString(listing.ended().size()));
+        }
+        session.mIsAnswering = true;
+        session.mHasAnswered = true;
+        session.onClock(listing.clockMillis(), now);
+        if (session.onBorn(listing.bornMillis())) {
+            onReborn(session);
+        }
+        onEnds(session, listing.ended());
+        onRunning(session, listing, sentNanos);
+        mState.mUnasked.remove(session.id());
+        mState.mNeedsDispatch |= wasFirst;
+        scheduleNext(session, now);
+    }
+
+    private void scheduleNext(MinionSession session, long nowNanos) {
+        if (session.mProcessedEnd > session.mStoredEnd) {
+            long upTo = session.mProcessedEnd;
+            session.mNextHoldNanos = nowNanos + UNSTORED_PAUSE_NANOS;
+            mJournal.afterStored(
+                    () -> {
+                        session.mStoredEnd = Math.max(session.mStoredEnd, upTo);
+                        session.mNextHoldNanos = System.nanoTime();
+                    });
+        } else {
+            session.mNextHoldNanos = nowNanos;
+        }
+    }
+
+    private void onSilent(MinionSession session, OrderOutcome outcome, long nowNanos) {
+        if (session.mIsAnswering || !session.mHasAnswered && session.mSilentSinceNanos == 0) {
+            session.mSilentSinceNanos = nowNanos;
+            LOGGER.log(
+                    Level.INFO,
+                    "minion: silent minion={0} outcome={1} tasks={2}",
+                    session.id(),
+                    outcome,
+                    Integer.toString(session.tasks().size()));
+        }
+        session.mIsAnswering = false;
+        session.mNextHoldNanos = nowNanos + SILENT_PAUSE_NANOS;
+        if (outcome == OrderOutcome.OTHER_INCARNATION) {
+            // The address answers for another minion, so the one that had it has ended.
+            loseAll(session, "another minion at its address");
+        }
+    }
+
+    private void onReborn(MinionSession session) {
+        LOGGER.log(Level.INFO, "minion: new incarnation minion={0}", session.id());
+        for (TaskEntry task : List.copyOf(session.tasks().values())) {
+            if (task.mPhase == TaskPhase.STARTING) {
+                // A start whose answer is missing may yet reach the new incarnation.
+                mFlow.stop(task, "new incarnation");
+            } else if (task.mPhase == TaskPhase.RUNNING || task.mStopAcked) {
+                mFlow.onLost(task, "new incarnation");
+            }
+        }
+    }
+
+    private void loseAll(MinionSession session, String reason) {
+        for (TaskEntry task : List.copyOf(session.tasks().values())) {
+            mFlow.onLost(task, reason);
+        }
+    }
+
+    private void onEnds(MinionSession session, List<EndedTask> ends) {
+        for (EndedTask ended : ends) {
+            if (ended.number() > session.mProcessedEnd) {
+                session.mProcessedEnd = ended.number();
+                mFlow.onEnded(session, ended);
+            }
+        }
+    }
+
+    private void onRunning(MinionSession session, Listing listing, long sentNanos) {
+        Set<String> runs = new HashSet<>();
+        for (RunningTask running : listing.running()) {
+            if (compare(session, running)) {
+                runs.add(running.task());
+            }
+        }
+        if (listing.ended().size() >= MAX_ENDS) {
+            return;
+        }
+        for (TaskEntry task : List.copyOf(session.tasks().values())) {
+            if (!runs.contains(task.mName)) {
+                onMissing(task, sentNanos);
+            }
+        }
+        for (TaskEntry task : List.copyOf(session.tasks().values())) {
+            if (task.mPhase == TaskPhase.STOPPING) {
+                mFlow.retryStop(task, sentNanos);
+            }
+        }
+    }
+
+    /** Returns whether the run is the one that is counted on. */
+    private boolean compare(MinionSession session, RunningTask running) {
+        TaskEntry task = mState.task(running.task());
+        if (task == null) {
+            mFlow.stopStray(session, running.task(), running.run());
+            return false;
+        }
+        if (task.mMinion == session && task.mRun == running.run()) {
+            confirm(task, running);
+            return true;
+        }
+        boolean isOpen = !task.mStep.mJob.mState.isFinal();
+        boolean isNewest = running.run() >= task.mRun && task.mPhase == TaskPhase.WAITING;
+        if (isOpen && isNewest) {
+            mFlow.adopt(task, session, running.run());
+            confirm(task, running);
+            return true;
+        }
+        mFlow.stopStray(session, running.task(), running.run());
+        return false;
+    }
+
+    private static void confirm(TaskEntry task, RunningTask running) {
+        if (task.mPhase == TaskPhase.STARTING) {
+            task.mPhase = TaskPhase.RUNNING;
+            task.mAckedNanos = System.nanoTime();
+        }
+        task.mUncertainNanos = 0;
+        task.mPercent = running.percent();
+        task.mLoad = running.load();
+        if (!running.checkpoint().isEmpty()) {
+            task.mCheckpoint = running.checkpoint();
+        }
+    }
+
+    private void onMissing(TaskEntry task, long sentNanos) {
+        boolean isUncertain = task.mUncertainNanos != 0 && task.mUncertainNanos - sentNanos < 0;
+        switch (task.mPhase) {
+            case STARTING -> {
+                if (isUncertain) {
+                    mFlow.stop(task, "start not answered");
+                }
+            }
+            case RUNNING -> {
+                if (task.mAckedNanos - sentNanos < 0) {
+                    mFlow.onLost(task, "not listed");
+                }
+            }
+            case STOPPING -> {
+                if (task.mStopAcked && task.mAckedNanos - sentNanos < 0) {
+                    mFlow.onLost(task, "stopped");
+                }
+            }
+            default -> {}
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
@@ -0,0 +1,194 @@
+package org.endivetray.daemon.job.shard;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.endivetray.job.MinionInfo;
+import org.endivetray.job.StepSpec;
+import org.endivetray.platform.MinionOrders;
+
+/**
+ * What the owner of a shard believes of one minion: its clock, its lease, its room and its tasks.
+ *
+ * <p>Invariants: the room in use is the sum of the needs of its tasks; the lease's latest end is
+ * never earlier than the minion's own.
+ *
+ * <p>This class is not thread-safe; it belongs to the scheduler's thread.
+ */
+final class MinionSession {
+    /** Share by which a minion's steady clock may be slow. From the platform's rules. */
+    private static final double CLOCK_DRIFT = 0.02;
+
+    /** Added to the latest end of a lease for the way of an order. One slow round trip. */
+    private static final long LEASE_MARGIN_MILLIS = 100;
+
+    private final Map<String, TaskEntry> mTasks = new LinkedHashMap<>();
+    private MinionInfo mInfo;
+    private long mBornMillis;
+    private long mClockMillis;
+    private long mClockNanos;
+    private boolean mHasClock;
+    private long mLapseNanos;
+    private int mCpuMillis;
+    private int mMemoryMb;
+    private int mGpus;
+    boolean mIsListed = true;
+    long mUnlistedNanos;
+    boolean mIsHolding;
+    boolean mIsAnswering;
+    boolean mHasAnswered;
+    boolean mIsRecorded;
+    long mSilentSinceNanos;
+    long mNextHoldNanos;
+    long mProcessedEnd;
+    long mStoredEnd;
+    long mNoRoomUntilNanos;
+    long mDistrustedUntilNanos;
+    long mDrainUntilNanos;
+    boolean mIsDrainUrgent;
+    int mFailureStreak;
+    int mStartsInFlight;
+    double mSlowness = 1;
+
+    MinionSession(MinionInfo info) {
+        mInfo = info;
+    }
+
+    String id() {
+        return mInfo.id();
+    }
+
+    MinionInfo info() {
+        return mInfo;
+    }
+
+    void updateInfo(MinionInfo info) {
+        mInfo = info;
+    }
+
+    Map<String, TaskEntry> tasks() {
+        return mTasks;
+    }
+
+    /** Returns whether tasks may be started there now. */
+    boolean isOpen(long nowNanos) {
+        return mIsAnswering
+                && mIsListed
+                && mIsRecorded
+                && !mInfo.draining()
+                && !isAskedToDrain(nowNanos)
+                && nowNanos - mDistrustedUntilNanos >= 0
+                && nowNanos - mNoRoomUntilNanos >= 0;
+    }
+
+    /** Returns whether it is to be emptied for a planned outage. */
+    boolean isAskedToDrain(long nowNanos) {
+        return nowNanos - mDrainUntilNanos < 0;
+    }
+
+    /** Returns whether a step's task fits into the free room. */
+    boolean fits(StepSpec spec) {
+        return mCpuMillis + spec.reservedCpuMillis() <= mInfo.cpuMillis()
+                && mMemoryMb + spec.memoryMb() <= mInfo.memoryMb()
+                && mGpus + spec.gpus() <= mInfo.gpus();
+    }
+
+    int freeCpuMillis() {
+        return mInfo.cpuMillis() - mCpuMillis;
+    }
+
+    int usedCpuMillis() {
+        return mCpuMillis;
+    }
+
+    void assign(TaskEntry task) {
+        StepSpec spec = task.mStep.mSpec;
+        mTasks.put(task.mName, task);
+        mCpuMillis += spec.reservedCpuMillis();
+        mMemoryMb += spec.memoryMb();
+        mGpus += spec.gpus();
+        task.mMinion = this;
+        task.mStep.mPerMinion.merge(id(), 1, Integer::sum);
+    }
+
+    void release(TaskEntry task) {
+        StepSpec spec = task.mStep.mSpec;
+        mTasks.remove(task.mName);
+        mCpuMillis -= spec.reservedCpuMillis();
+        mMemoryMb -= spec.memoryMb();
+        mGpus -= spec.gpus();
+        task.mMinion = null;
+        task.mStep.mPerMinion.merge(id(), -1, Integer::sum);
+    }
+
+    /**
+     * Takes note of the minion's clock.
+     *
+     * @param clockMillis its clock when it answered, in milliseconds
+     * @param nowNanos this process's steady clock
+     */
+    void onClock(long clockMillis, long nowNanos) {
+        mClockMillis = clockMillis;
+        mClockNanos = nowNanos;
+        mHasClock = true;
+    }
+
+    /** Returns whether the minion's clock is known. */
+    boolean hasClock() {
+        return mHasClock;
+    }
+
+    /** Returns the minion's clock as of now, in milliseconds. */
+    long clockMillis(long nowNanos) {
+        return mClockMillis + TimeUnit.NANOSECONDS.toMillis(nowNanos - mClockNanos);
+    }
+
+    /**
+     * Returns the end of a lease that starts now, on the minion's clock, and notes it.
+     *
+     * @param lengthMillis length of the lease, in milliseconds
+     * @param nowNanos this process's steady clock
+     */
+    long extendLease(long lengthMillis, long nowNanos) {
+        if (!mHasClock) {
+            return 0;
+        }
+        long end = clockMillis(nowNanos) + lengthMillis;
+        long elapsed = end - mClockMillis;
+        long bound = Math.round(elapsed * (1 + CLOCK_DRIFT)) + LEASE_MARGIN_MILLIS;
+        long lapse = mClockNanos + TimeUnit.MILLISECONDS.toNanos(bound);
+        if (mLapseNanos == 0 || lapse - mLapseNanos > 0) {
+            mLapseNanos = lapse;
+        }
+        return end;
+    }
+
+    /** Returns whether nothing of what was started there can still run. */
+    boolean hasLapsed(long nowNanos) {
+        return mLapseNanos == 0 || nowNanos - mLapseNanos >= 0;
+    }
+
+    /**
+     * Notes the minion's incarnation.
+     *
+     * @param bornMillis its start, in milliseconds since 1970, 0 if not told
+     * @return whether it is another incarnation than before
+     */
+    boolean onBorn(long bornMillis) {
+        boolean isReborn = mBornMillis != 0 && bornMillis != 0 && bornMillis != mBornMillis;
+        if (bornMillis != 0) {
+            mBornMillis = bornMillis;
+        }
+        if (isReborn) {
+            mProcessedEnd = 0;
+            mStoredEnd = 0;
+        }
+        return isReborn;
+    }
+
+    /** Returns the listing order that extends the lease. */
+    MinionOrders.HoldOrder holdOrder(long leaseMillis, int waitMillis, long token, long nowNanos) {
+        return new MinionOrders.HoldOrder(
+                extendLease(leaseMillis, nowNanos), mStoredEnd, waitMillis, token);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardLoader.java
@@ -0,0 +1,125 @@
+package org.endivetray.daemon.job.shard;
+
+import io.vertx.core.Future;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.endivetray.EndivetrayException;
+import org.endivetray.daemon.job.record.JobKeys;
+import org.endivetray.daemon.job.record.StoredJob;
+import org.endivetray.daemon.job.record.StoredMinions;
+import org.endivetray.daemon.job.record.StoredProgress;
+import org.endivetray.platform.Codec;
+import org.endivetray.platform.SharedStore;
+import org.endivetray.platform.Versioned;
+
+/**
+ * Reads what the shared store keeps of a shard.
+ *
+ * <p>A record that cannot be read is left as it is and named in the log; the others hold.
+ *
+ * <p>This class has no state and is thread-safe.
+ */
+final class ShardLoader {
+    private static final Logger LOGGER = System.getLogger(ShardLoader.class.getName());
+
+    private ShardLoader() {}
+
+    /**
+     * Reads a shard.
+     *
+     * @param store the shared store, not null
+     * @param pool the shard's pool, not null
+     */
+    static Future<Loaded> load(SharedStore store, String pool) {
+        Future<SharedStore.Range> deputy = store.list(JobKeys.deputy(pool), false);
+        Future<SharedStore.Range> jobs = store.list(JobKeys.jobs(pool), false);
+        Future<SharedStore.Range> progress = store.list(JobKeys.progress(pool), false);
+        Future<Versioned> minions = store.read(JobKeys.minions(pool));
+        return Future.all(deputy, jobs, progress, minions)
+                .map(
+                        ignored ->
+                                new Loaded(
+                                        deputy.result(),
+                                        jobs.result().entries(),
+                                        progress.result().entries(),
+                                        minions.result()));
+    }
+
+    /**
+     * Returns the value of a stored record, or nothing if it cannot be read.
+     *
+     * @param item the record, not null
+     * @param type the value's class, not null
+     * @param <T> the value's type
+     */
+    static <T> Optional<T> decode(Versioned item, Class<T> type) {
+        if (!item.isPresent()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(Codec.decode(item.key(), item.value(), type));
+        } catch (EndivetrayException e) {
+            LOGGER.log(Level.ERROR, "state: record left out key={0} {1}", item.key(), e);
+            return Optional.empty();
+        }
+    }
+
+    /** Returns the job in a stored record, or nothing if it cannot be read. */
+    static Optional<JobEntry> job(Versioned item, String prefix) {
+        return decode(item, StoredJob.class)
+                .map(
+                        stored ->
+                                new JobEntry(
+                                        item.key().substring(prefix.length()),
+                                        stored,
+                                        System.nanoTime()));
+    }
+
+    /**
+     * What the store keeps of a shard.
+     *
+     * @param deputy what other daemons have stored in the owner's place, not null
+     * @param jobs accepted jobs, not null
+     * @param progress the jobs' progress, not null
+     * @param minions the minions that may hold runs, not null
+     */
+    record Loaded(
+            SharedStore.Range deputy,
+            List<Versioned> jobs,
+            List<Versioned> progress,
+            Versioned minions) {
+        /** Adds all to a shard's state. */
+        void fill(ShardState state) {
+            List<JobEntry> entries = new ArrayList<>();
+            String prefix = JobKeys.jobs(state.mPool);
+            jobs.forEach(item -> job(item, prefix).ifPresent(entries::add));
+            String deputies = JobKeys.deputyJobs(state.mPool);
+            String cancels = JobKeys.deputyCancels(state.mPool);
+            for (Versioned item : deputy.entries()) {
+                if (item.key().startsWith(deputies)) {
+                    job(item, deputies).ifPresent(entries::add);
+                } else if (item.key().startsWith(cancels)) {
+                    state.mCanceledEarly.add(item.key().substring(cancels.length()));
+                }
+            }
+            entries.forEach(entry -> state.mJobs.put(entry.mId, entry));
+            String progressPrefix = JobKeys.progress(state.mPool);
+            for (Versioned item : progress) {
+                JobEntry entry = state.mJobs.get(item.key().substring(progressPrefix.length()));
+                if (entry != null) {
+                    decode(item, StoredProgress.class)
+                            .ifPresent(stored -> entry.restore(stored, item.version()));
+                }
+            }
+            for (JobEntry entry : entries) {
+                entry.markInherited();
+                state.add(entry);
+            }
+            decode(minions, StoredMinions.class)
+                    .ifPresent(stored -> stored.minions().forEach(state::addInherited));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardState.java
@@ -0,0 +1,66 @@
+package org.endivetray.daemon.job.shard;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.endivetray.job.MinionInfo;
+import org.endivetray.job.TaskId;
+
+/**
+ * The jobs and minions of one shard.
+ *
+ * <p>This class is not thread-safe; it belongs to the scheduler's thread.
+ */
+final class ShardState {
+    final String mPool;
+    final long mToken;
+    final Map<String, JobEntry> mJobs = new HashMap<>();
+    final Map<String, JobEntry> mActive = new LinkedHashMap<>();
+    final Map<String, MinionSession> mMinions = new LinkedHashMap<>();
+    final Set<String> mCanceledEarly = new HashSet<>();
+
+    /** Minions that may run tasks of an earlier owner and have not been asked yet. */
+    final Set<String> mUnasked = new HashSet<>();
+
+    /** Time after which nothing of an earlier owner can run on a minion that was not reached. */
+    long mInheritedUntilNanos;
+
+    boolean mNeedsDispatch;
+
+    ShardState(String pool, long token) {
+        mPool = pool;
+        mToken = token;
+    }
+
+    /** Returns the task with the name, or null if none is known. */
+    TaskEntry task(String name) {
+        TaskId id = TaskId.parse(name).orElse(null);
+        JobEntry job = id == null ? null : mJobs.get(id.job());
+        return job == null ? null : job.task(id);
+    }
+
+    void add(JobEntry job) {
+        mJobs.put(job.mId, job);
+        if (!job.mState.isFinal()) {
+            mActive.put(job.mId, job);
+        }
+        mNeedsDispatch = true;
+    }
+
+    /** Adds a minion that may run tasks of an earlier owner. */
+    void addInherited(MinionInfo info) {
+        MinionSession session = new MinionSession(info);
+        session.mIsRecorded = true;
+        session.mIsListed = false;
+        session.mUnlistedNanos = System.nanoTime();
+        mMinions.put(info.id(), session);
+        mUnasked.add(info.id());
+    }
+
+    /** Returns whether tasks of an earlier owner may still run where this owner cannot see them. */
+    boolean mayRunElsewhere(TaskEntry task, long nowNanos) {
+        return task.mIsInherited && !mUnasked.isEmpty() && nowNanos - mInheritedUntilNanos < 0;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/StepEntry.java
@@ -0,0 +1,60 @@
+package org.endivetray.daemon.job.shard;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.endivetray.job.StepSpec;
+
+/**
+ * What the owner of a shard knows of one step of one occurrence of a job.
+ *
+ * <p>Invariants: {@code mDone} is the number of its tasks that are done.
+ *
+ * <p>This class is not thread-safe; it belongs to the scheduler's thread.
+ */
+final class StepEntry {
+    final JobEntry mJob;
+    final int mOccurrence;
+    final int mNumber;
+    final StepSpec mSpec;
+    final String mName;
+    final List<TaskEntry> mTasks = new ArrayList<>();
+    final Map<String, Integer> mPerMinion = new HashMap<>();
+    int mDone;
+    int mWaiting;
+    AdviceState mAdvice;
+
+    StepEntry(JobEntry job, int occurrence, int number, StepSpec spec) {
+        mJob = job;
+        mOccurrence = occurrence;
+        mNumber = number;
+        mSpec = spec;
+        mName = job.mId + "." + occurrence + "." + number;
+        for (int i = 0; i < spec.count(); i++) {
+            mTasks.add(new TaskEntry(this, i));
+        }
+        mWaiting = spec.count();
+    }
+
+    /** Returns whether all its tasks are done. */
+    boolean isDone() {
+        return mDone == mTasks.size();
+    }
+
+    /** Returns the number of its tasks on a minion. */
+    int countOn(MinionSession minion) {
+        return mPerMinion.getOrDefault(minion.id(), 0);
+    }
+
+    /** Returns the number of its tasks that are not at work. */
+    int unavailable() {
+        int unavailable = 0;
+        for (TaskEntry task : mTasks) {
+            if (!task.isAtWork()) {
+                unavailable++;
+            }
+        }
+        return unavailable;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskEntry.java
@@ -0,0 +1,51 @@
+package org.endivetray.daemon.job.shard;
+
+/**
+ * What the owner of a shard knows of one task.
+ *
+ * <p>Invariants: it has a minion exactly while its phase occupies one.
+ *
+ * <p>This class is not thread-safe; it belongs to the scheduler's thread.
+ */
+final class TaskEntry {
+    final StepEntry mStep;
+    final int mIndex;
+    final String mName;
+    TaskPhase mPhase = TaskPhase.WAITING;
+    MinionSession mMinion;
+    int mRun;
+    int mFailures;
+    int mCountedRun;
+    String mCheckpoint = "";
+    long mOrderedNanos;
+    long mAckedNanos;
+    long mUncertainNanos;
+    long mNotBeforeNanos;
+    int mPercent;
+    int mPacedPercent = 100;
+    int mLoad;
+    boolean mIsInherited;
+    boolean mStopAcked;
+    long mStopSentNanos;
+
+    TaskEntry(StepEntry step, int index) {
+        mStep = step;
+        mIndex = index;
+        mName = step.mName + "." + index;
+    }
+
+    /** Returns the key under which the task's progress is stored. */
+    String progressKey() {
+        return mStep.mOccurrence + "." + mStep.mNumber + "." + mIndex;
+    }
+
+    /** Returns whether it works at its full share. */
+    boolean isAtWork() {
+        return mPhase == TaskPhase.RUNNING && mPercent >= 100;
+    }
+
+    /** Returns whether there is anything to keep beyond the job itself. */
+    boolean isWorthStoring() {
+        return mPhase == TaskPhase.DONE || mFailures > 0 || !mCheckpoint.isEmpty();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskFlow.java
@@ -0,0 +1,369 @@
+package org.endivetray.daemon.job.shard;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.endivetray.daemon.job.record.JobKeys;
+import org.endivetray.job.JobState;
+import org.endivetray.platform.Codec;
+import org.endivetray.platform.MinionOrders.EndedTask;
+import org.endivetray.platform.MinionOrders.OrderOutcome;
+import org.endivetray.platform.MinionOrders.OrderReply;
+import org.endivetray.platform.MinionOrders.StartOrder;
+import org.endivetray.policy.job.DurationModel;
+
+/**
+ * The transitions of a shard's tasks and jobs: started, confirmed, stopped, ended, lost.
+ *
+ * <p>Invariants: a task has at most one run that this owner has not seen end; a run number is never
+ * used twice.
+ *
+ * <p>This class is not thread-safe; it belongs to the scheduler's thread.
+ */
+final class TaskFlow {
+    private static final Logger LOGGER = System.getLogger(TaskFlow.class.getName());
+
+    /** Pause before a refused start is tried again. Two round trips. */
+    private static final long REFUSED_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+    /** Pause before a stop that was not answered is sent again. */
+    private static final long STOP_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    /** Time for which a minion that refused for want of room gets no starts. */
+    private static final long NO_ROOM_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    private final ShardContext mContext;
+    private final ShardState mState;
+    private final Journal mJournal;
+    private final DurationModel mDurations;
+    private final Trust mTrust;
+    private final Runnable mOnFenced;
+
+    TaskFlow(
+            ShardContext context,
+            ShardState state,
+            Journal journal,
+            DurationModel durations,
+            Runnable onFenced) {
+        mContext = context;
+        mState = state;
+        mJournal = journal;
+        mDurations = durations;
+        mTrust = new Trust(state);
+        mOnFenced = onFenced;
+    }
+
+    /**
+     * Orders a minion to start a task.
+     *
+     * @param task a waiting task, not null
+     * @param minion the minion, not null
+     * @param ticket permission of the placement advice, empty if none is needed
+     */
+    void start(TaskEntry task, MinionSession minion, String ticket) {
+        long now = System.nanoTime();
+        JobEntry job = task.mStep.mJob;
+        task.mRun++;
+        task.mPhase = TaskPhase.STARTING;
+        task.mStep.mWaiting--;
+        task.mOrderedNanos = now;
+        task.mUncertainNanos = 0;
+        task.mStopAcked = false;
+        task.mPercent = 0;
+        task.mPacedPercent = 100;
+        minion.assign(task);
+        minion.mStartsInFlight++;
+        int run = task.mRun;
+        StartOrder order =
+                new StartOrder(
+                        task.mName,
+                        run,
+                        job.mStored.spec().payload(),
+                        task.mCheckpoint,
+                        ticket,
+                        minion.extendLease(mContext.limits().maxLeaseMillis(), now),
+                        mState.mToken);
+        if (!job.hasStarted()) {
+            job.mState = JobState.RUNNING;
+            job.mStoredState = JobState.RUNNING;
+            mContext.metrics().onFirstStart(now - job.mAcceptedNanos);
+        }
+        mContext.calls()
+                .then(
+                        mContext.minions().start(minion.info(), order),
+                        (reply, cause) -> onStartReply(task, minion, run, reply));
+    }
+
+    private void onStartReply(TaskEntry task, MinionSession minion, int run, OrderReply reply) {
+        long now = System.nanoTime();
+        minion.mStartsInFlight--;
+        mState.mNeedsDispatch = true;
+        OrderOutcome outcome = reply.outcome();
+        mContext.metrics().onStart(mState.mPool, outcome.name());
+        if (outcome != OrderOutcome.DONE) {
+            LOGGER.log(
+                    Level.INFO,
+                    "place: start {0} task={1} run={2} minion={3} age={4}ms",
+                    outcome,
+                    task.mName,
+                    Integer.toString(run),
+                    minion.id(),
+                    TimeUnit.NANOSECONDS.toMillis(now - task.mOrderedNanos));
+        }
+        if (outcome == OrderOutcome.FENCED) {
+            mOnFenced.run();
+            return;
+        }
+        boolean isCurrent = task.mMinion == minion && task.mRun == run;
+        if (!isCurrent) {
+            return;
+        }
+        if (outcome == OrderOutcome.DONE) {
+            task.mAckedNanos = now;
+            task.mUncertainNanos = 0;
+            if (task.mPhase == TaskPhase.STARTING) {
+                task.mPhase = TaskPhase.RUNNING;
+            }
+        } else if (outcome == OrderOutcome.UNKNOWN) {
+            task.mUncertainNanos = now;
+        } else {
+            onStartRefused(task, minion, outcome, now);
+        }
+    }
+
+    private void onStartRefused(
+            TaskEntry task, MinionSession minion, OrderOutcome outcome, long now) {
+        release(task);
+        task.mNotBeforeNanos = now + REFUSED_PAUSE_NANOS;
+        switch (outcome) {
+            case NO_ROOM -> minion.mNoRoomUntilNanos = now + NO_ROOM_NANOS;
+            case NO_TICKET -> {
+                if (task.mStep.mAdvice != null) {
+                    task.mStep.mAdvice.drop(minion.id());
+                }
+            }
+            case UNHEALTHY -> mTrust.onRefusal(minion, now);
+            case OTHER_INCARNATION -> minion.mIsAnswering = false;
+            default -> {}
+        }
+    }
+
+    /**
+     * Stops a task wherever it may run.
+     *
+     * @param task a task that occupies a minion, not null
+     * @param reason why, for the log, not null
+     */
+    void stop(TaskEntry task, String reason) {
+        LOGGER.log(
+                Level.INFO,
+                "place: stop task={0} run={1} minion={2} reason={3}",
+                task.mName,
+                Integer.toString(task.mRun),
+                task.mMinion.id(),
+                reason);
+        task.mPhase = TaskPhase.STOPPING;
+        task.mStopAcked = false;
+        sendStop(task);
+    }
+
+    private void sendStop(TaskEntry task) {
+        MinionSession minion = task.mMinion;
+        int run = task.mRun;
+        task.mStopSentNanos = System.nanoTime();
+        mContext.calls()
+                .then(
+                        mContext.minions().stop(minion.info(), task.mName, run, mState.mToken),
+                        (reply, cause) -> onStopReply(task, minion, run, reply));
+    }
+
+    private void onStopReply(TaskEntry task, MinionSession minion, int run, OrderReply reply) {
+        if (reply.outcome() == OrderOutcome.FENCED) {
+            mOnFenced.run();
+            return;
+        }
+        if (task.mMinion == minion && task.mRun == run && reply.outcome() == OrderOutcome.DONE) {
+            task.mStopAcked = true;
+            task.mAckedNanos = System.nanoTime();
+        }
+    }
+
+    /** Sends a stop again that was not answered. */
+    void retryStop(TaskEntry task, long nowNanos) {
+        boolean isDue = nowNanos - task.mStopSentNanos >= STOP_RETRY_NANOS;
+        if (!task.mStopAcked && isDue && task.mMinion.mIsAnswering) {
+            sendStop(task);
+        }
+    }
+
+    /** Stops a run that is not the one that this owner counts on. */
+    void stopStray(MinionSession minion, String task, int run) {
+        LOGGER.log(
+                Level.INFO,
+                "place: stop stray task={0} run={1} minion={2}",
+                task,
+                Integer.toString(run),
+                minion.id());
+        mContext.calls()
+                .then(
+                        mContext.minions().stop(minion.info(), task, run, mState.mToken),
+                        (reply, cause) -> {});
+    }
+
+    /** Counts on a run that a minion has listed and that this owner had not ordered. */
+    void adopt(TaskEntry task, MinionSession minion, int run) {
+        task.mRun = run;
+        task.mPhase = TaskPhase.RUNNING;
+        task.mStep.mWaiting--;
+        task.mOrderedNanos = System.nanoTime();
+        task.mAckedNanos = task.mOrderedNanos;
+        task.mStopAcked = false;
+        minion.assign(task);
+        JobEntry job = task.mStep.mJob;
+        if (!job.hasStarted()) {
+            job.mState = JobState.RUNNING;
+            job.mStoredState = JobState.RUNNING;
+        }
+    }
+
+    /** Takes note that nothing of a task runs any more, so that it may be started again. */
+    void onLost(TaskEntry task, String reason) {
+        LOGGER.log(
+                Level.INFO,
+                "place: run lost task={0} run={1} minion={2} reason={3}",
+                task.mName,
+                Integer.toString(task.mRun),
+                task.mMinion.id(),
+                reason);
+        release(task);
+    }
+
+    private void release(TaskEntry task) {
+        task.mMinion.release(task);
+        task.mPhase = TaskPhase.WAITING;
+        task.mUncertainNanos = 0;
+        task.mStep.mWaiting++;
+        mState.mNeedsDispatch = true;
+    }
+
+    /** Takes note of the end of a run. */
+    void onEnded(MinionSession minion, EndedTask ended) {
+        TaskEntry task = mState.task(ended.task());
+        mContext.metrics().onEnd(mState.mPool, ended.end().name());
+        if (task == null) {
+            return;
+        }
+        long now = System.nanoTime();
+        boolean isCurrent = task.mMinion == minion && task.mRun == ended.run();
+        long workedNanos = now - task.mAckedNanos;
+        if (isCurrent) {
+            release(task);
+        }
+        task.mRun = Math.max(task.mRun, ended.run());
+        if (task.mPhase == TaskPhase.DONE) {
+            return;
+        }
+        switch (ended.end()) {
+            case DONE -> {
+                if (isCurrent && task.mCheckpoint.isEmpty()) {
+                    mDurations.onDone(key(task), TimeUnit.NANOSECONDS.toMillis(workedNanos));
+                }
+                mTrust.onDone(minion);
+                onDone(task, ended.run());
+            }
+            case FAILED -> onFailed(task, minion, ended.run(), now);
+            default -> saveCheckpoint(task, ended.checkpoint());
+        }
+    }
+
+    private static String key(TaskEntry task) {
+        return task.mStep.mJob.mStored.queue().name() + "/" + task.mStep.mNumber;
+    }
+
+    private void saveCheckpoint(TaskEntry task, String checkpoint) {
+        if (!checkpoint.isEmpty() && !task.mStep.mJob.mState.isFinal()) {
+            task.mCheckpoint = checkpoint;
+            store(task.mStep.mJob, false);
+        }
+    }
+
+    private void onDone(TaskEntry task, int run) {
+        JobEntry job = task.mStep.mJob;
+        if (task.mStep.mSpec.longRunning()) {
+            return;
+        }
+        if (task.mMinion != null) {
+            stopStray(task.mMinion, task.mName, task.mRun);
+            release(task);
+        }
+        task.mPhase = TaskPhase.DONE;
+        task.mStep.mWaiting--;
+        task.mStep.mDone++;
+        job.mOpenTasks--;
+        mState.mNeedsDispatch = true;
+        if (job.mOpenTasks == 0 && !job.mState.isFinal()) {
+            finish(job, JobState.COMPLETED);
+        } else {
+            store(job, false);
+        }
+    }
+
+    private void onFailed(TaskEntry task, MinionSession minion, int run, long now) {
+        if (run <= task.mCountedRun) {
+            return;
+        }
+        task.mCountedRun = run;
+        mTrust.onFailed(minion, task, now);
+        JobEntry job = task.mStep.mJob;
+        if (job.mState.isFinal() || task.mStep.mSpec.longRunning()) {
+            return;
+        }
+        task.mFailures++;
+        if (task.mFailures >= job.mStored.queue().attempts()) {
+            finish(job, JobState.FAILED);
+        } else {
+            store(job, false);
+        }
+    }
+
+    /**
+     * Ends a job: nothing of it is started any more and what runs is stopped.
+     *
+     * @param job the job, not null
+     * @param state the final state, not null
+     */
+    void finish(JobEntry job, JobState state) {
+        job.mState = state;
+        job.mEndedMillis = System.currentTimeMillis();
+        mState.mActive.remove(job.mId);
+        LOGGER.log(Level.INFO, "job: ended job={0} state={1}", job.mId, state);
+        for (List<StepEntry> steps : job.mOccurrences) {
+            for (StepEntry step : steps) {
+                for (TaskEntry task : step.mTasks) {
+                    if (task.mPhase == TaskPhase.STARTING || task.mPhase == TaskPhase.RUNNING) {
+                        stop(task, state.name());
+                    }
+                }
+            }
+        }
+        store(job, true);
+    }
+
+    /** Queues a job's progress for the store. */
+    void store(JobEntry job, boolean isUrgent) {
+        JobState state = job.mState;
+        mJournal.add(
+                Journal.Change.rewrite(
+                        JobKeys.progress(mState.mPool) + job.mId,
+                        Codec.encode(job.progress()),
+                        job.mProgressVersion,
+                        version -> {
+                            job.mProgressVersion = version;
+                            if (state.isFinal() || !job.mStoredState.isFinal()) {
+                                job.mStoredState = state;
+                            }
+                        }),
+                isUrgent);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/BoundedLogHandler.java
@@ -0,0 +1,98 @@
+package org.endivetray.daemon.observe;
+
+import java.io.PrintStream;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+
+/**
+ * Writes log lines on a thread of its own and drops lines rather than make a caller wait.
+ *
+ * <p>Invariants: at most a fixed number of lines waits; at most a fixed number of bytes is written
+ * in a second; the number of dropped lines is written as soon as there is room.
+ *
+ * <p>This class is thread-safe.
+ */
+final class BoundedLogHandler extends Handler {
+    private static final int MAX_WAITING_LINES = 4_096;
+
+    /** Most bytes in a second. A sixth of what all daemons of a small site may write. */
+    private static final long MAX_BYTES_PER_SECOND = 32_768;
+
+    private static final long POLL_MILLIS = 500;
+
+    private final BlockingQueue<LogRecord> mWaiting = new ArrayBlockingQueue<>(MAX_WAITING_LINES);
+    private final AtomicLong mDropped = new AtomicLong();
+    private final PrintStream mOut;
+    private long mWindowNanos = System.nanoTime();
+    private long mWindowBytes;
+
+    BoundedLogHandler(PrintStream out, Formatter formatter) {
+        mOut = out;
+        setFormatter(formatter);
+        Thread thread = new Thread(this::run, "log");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @Override
+    public void publish(LogRecord line) {
+        if (isLoggable(line) && !mWaiting.offer(line)) {
+            mDropped.incrementAndGet();
+        }
+    }
+
+    private void run() {
+        try {
+            while (true) {
+                LogRecord line = mWaiting.poll(POLL_MILLIS, TimeUnit.MILLISECONDS);
+                if (line != null) {
+                    write(line);
+                }
+                if (mWaiting.isEmpty()) {
+                    mOut.flush();
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized void write(LogRecord line) {
+        long now = System.nanoTime();
+        if (now - mWindowNanos >= TimeUnit.SECONDS.toNanos(1)) {
+            mWindowNanos = now;
+            mWindowBytes = 0;
+            long dropped = mDropped.getAndSet(0);
+            if (dropped > 0) {
+                mOut.println("log: lines dropped count=" + dropped);
+            }
+        }
+        if (mWindowBytes >= MAX_BYTES_PER_SECOND) {
+            mDropped.incrementAndGet();
+            return;
+        }
+        String text = getFormatter().format(line);
+        mWindowBytes += text.length();
+        mOut.print(text);
+    }
+
+    @Override
+    public void flush() {
+        LogRecord line = mWaiting.poll();
+        while (line != null) {
+            write(line);
+            line = mWaiting.poll();
+        }
+        mOut.flush();
+    }
+
+    @Override
+    public void close() {
+        flush();
+    }
+}
--- a/daemon/src/main/java/org/endivetray/daemon/observe/Logs.java
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/Logs.java
@@ -1,9 +1,12 @@
 package org.endivetray.daemon.observe;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.PrintStream;
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
 import java.time.Instant;
-import java.util.logging.ConsoleHandler;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -12,7 +15,7 @@
 import java.util.logging.Logger;
 
 /**
- * Sets up one-line logs on standard error.
+ * Sets up one-line logs on standard output.
  *
  * <p>This class has no state and is thread-safe.
  */
@@ -30,14 +33,23 @@
         for (Handler handler : ROOT.getHandlers()) {
             ROOT.removeHandler(handler);
         }
-        ConsoleHandler handler = new ConsoleHandler();
-        handler.setFormatter(new LineFormatter());
+        PrintStream out =
+                new PrintStream(
+                        new FileOutputStream(FileDescriptor.out), false, StandardCharsets.UTF_8);
+        Handler handler = new BoundedLogHandler(out, new LineFormatter());
         handler.setLevel(Level.ALL);
         ROOT.addHandler(handler);
         ROOT.setLevel(Level.WARNING);
         Logger.getLogger("org.endivetray").setLevel(toJul(level));
     }
 
+    /** Writes the lines that still wait. */
+    public static void flush() {
+        for (Handler handler : ROOT.getHandlers()) {
+            handler.flush();
+        }
+    }
+
     private static Level toJul(String level) {
         return switch (level) {
             case "DEBUG" -> Level.FINE;
--- a/model/src/main/java/org/endivetray/ResultCode.java
+++ b/model/src/main/java/org/endivetray/ResultCode.java
@@ -263,6 +263,13 @@
             31,
             "A record would exceed the store's value limit.",
             "Split the pool or the plan."),
+    HISTORY_LOST(
+            4007,
+            Outcome.OPERATOR,
+            503,
+            30,
+            "The platform's store no longer has the changes that were asked for.",
+            "Nothing; the daemon reads the state anew."),
     USAGE(5001, Outcome.OPERATOR, 400, 2, "The command line is malformed.", "See --help."),
     DAEMON_UNREACHABLE(
             5002,
--- /dev/null
+++ b/model/src/main/java/org/endivetray/job/SiteConfig.java
@@ -0,0 +1,51 @@
+package org.endivetray.job;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * One version of the operators' configuration of queues and pools.
+ *
+ * <p>This class is immutable and thread-safe.
+ *
+ * @param version number that rises with each change
+ * @param queues the queues, not null
+ * @param pools the pools, not null
+ */
+public record SiteConfig(long version, List<QueueConfig> queues, List<PoolConfig> pools) {
+    public SiteConfig {
+        queues = List.copyOf(queues);
+        pools = List.copyOf(pools);
+    }
+
+    /**
+     * Returns the queue with the longest prefix of a path.
+     *
+     * @param host the caller's host name, not null
+     * @param path the caller's path, not null
+     */
+    public Optional<QueueConfig> queueAt(String host, String path) {
+        QueueConfig best = null;
+        for (QueueConfig queue : queues) {
+            boolean matches = queue.host().equalsIgnoreCase(host) && matches(path, queue.prefix());
+            if (matches && (best == null || queue.prefix().length() > best.prefix().length())) {
+                best = queue;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private static boolean matches(String path, String prefix) {
+        return path.startsWith(prefix) || prefix.equals(path + "/");
+    }
+
+    /** Returns the queue with the name. */
+    public Optional<QueueConfig> queue(String name) {
+        return queues.stream().filter(queue -> queue.name().equals(name)).findFirst();
+    }
+
+    /** Returns the pool with the name. */
+    public Optional<PoolConfig> pool(String name) {
+        return pools.stream().filter(pool -> pool.name().equals(name)).findFirst();
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/endivetray/policy/job/DurationModel.java
@@ -0,0 +1,56 @@
+package org.endivetray.policy.job;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Learns how long tasks of a kind take, since declared durations are far off.
+ *
+ * <p>Invariants: an estimate is at least one millisecond.
+ *
+ * <p>This class is not thread-safe.
+ */
+public final class DurationModel {
+    /** Weight of a new duration in the mean, once there are enough. Looks back some 50 tasks. */
+    private static final double WEIGHT = 0.02;
+
+    /** Number of durations from which the learnt mean is trusted. */
+    private static final int ENOUGH = 5;
+
+    private final Map<String, Mean> mMeans = new HashMap<>();
+
+    /**
+     * Takes note of a duration.
+     *
+     * @param kind the kind of task, not null
+     * @param millis its duration, in milliseconds
+     */
+    public void onDone(String kind, long millis) {
+        mMeans.computeIfAbsent(kind, ignored -> new Mean()).add(millis);
+    }
+
+    /**
+     * Returns the expected duration, in milliseconds.
+     *
+     * @param kind the kind of task, not null
+     * @param declaredMillis what was declared, in milliseconds
+     */
+    public long expectedMillis(String kind, long declaredMillis) {
+        Mean mean = mMeans.get(kind);
+        if (mean == null || mean.mCount < ENOUGH) {
+            return Math.max(1, declaredMillis);
+        }
+        return Math.max(1, Math.round(mean.mMillis));
+    }
+
+    /** A mean that follows slow changes. */
+    private static final class Mean {
+        private int mCount;
+        private double mMillis;
+
+        private void add(long millis) {
+            mCount++;
+            mMillis += (millis - mMillis) * Math.max(WEIGHT, 1.0 / mCount);
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/endivetray/policy/job/JobRank.java
@@ -0,0 +1,56 @@
+package org.endivetray.policy.job;
+
+import java.util.Comparator;
+
+/**
+ * The place of a step with waiting tasks among others.
+ *
+ * <p>Tasks that last go first, since they serve users all the time. Of the others, those that can
+ * still be in time go by their worth for the work that they need, and those that cannot wait behind
+ * in the order of their age.
+ *
+ * <p>This class is immutable and thread-safe.
+ *
+ * @param group 0 goes first
+ * @param key order within the group, lower goes first
+ */
+public record JobRank(int group, double key) implements Comparable<JobRank> {
+    private static final Comparator<JobRank> ORDER =
+            Comparator.comparingInt(JobRank::group).thenComparingDouble(JobRank::key);
+
+    private static final int SERVING = 0;
+    private static final int FILLING = 3;
+    private static final int IN_TIME = 1;
+    private static final int LATE = 2;
+
+    /**
+     * Returns the rank of a step.
+     *
+     * @param isLongRunning whether its tasks run until the job is cancelled
+     * @param fills whether its tasks use only capacity that others leave
+     * @param priority the queue's priority, 0 goes first
+     * @param slackMillis time that it can still wait and be in time, in milliseconds
+     * @param ageMillis time since it was due or handed in, in milliseconds
+     * @param workCoreSeconds work that is left, in core-seconds
+     */
+    public static JobRank of(
+            boolean isLongRunning,
+            boolean fills,
+            int priority,
+            long slackMillis,
+            long ageMillis,
+            double workCoreSeconds) {
+        if (isLongRunning) {
+            return new JobRank(fills ? FILLING : SERVING, priority);
+        }
+        if (slackMillis >= 0) {
+            return new JobRank(IN_TIME, slackMillis);
+        }
+        return new JobRank(LATE, -ageMillis);
+    }
+
+    @Override
+    public int compareTo(JobRank other) {
+        return ORDER.compare(this, other);
+    }
+}
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -2,7 +2,7 @@
 
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 # ENDIVETRAY_JARS names a folder with copies of the three built files, to compare versions.
-DAEMON_JAR=${ENDIVETRAY_JARS:-$ROOT/daemon/target}/endivetrayd-0.1.0-all.jar
+DAEMON_JAR=${ENDIVETRAY_JARS:-$ROOT/target}/endivetrayd.jar
 CTL_JAR=${ENDIVETRAY_JARS:-$ROOT/ctl/target}/endivetrayctl-0.1.0-all.jar
 STANDIN_JAR=${ENDIVETRAY_JARS:-$ROOT/standin/target}/endivetray-standin-0.1.0-all.jar
 JVM_FLAGS="-Xmx160m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:MaxDirectMemorySize=48m"
--- a/wire/src/gen-java/org/endivetray/wire/gen/Body.java
+++ b/wire/src/gen-java/org/endivetray/wire/gen/Body.java
@@ -16,6 +16,12 @@
   private static final org.apache.thrift.protocol.TField CONFIG_PUSH_FIELD_DESC = new org.apache.thrift.protocol.TField("configPush", org.apache.thrift.protocol.TType.STRUCT, (short)5);
   private static final org.apache.thrift.protocol.TField RELAY_FIELD_DESC = new org.apache.thrift.protocol.TField("relay", org.apache.thrift.protocol.TType.STRUCT, (short)6);
   private static final org.apache.thrift.protocol.TField FAILURE_FIELD_DESC = new org.apache.thrift.protocol.TField("failure", org.apache.thrift.protocol.TType.STRING, (short)7);
+  private static final org.apache.thrift.protocol.TField JOB_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("jobRequest", org.apache.thrift.protocol.TType.STRUCT, (short)8);
+  private static final org.apache.thrift.protocol.TField JOB_REPLY_FIELD_DESC = new org.apache.thrift.protocol.TField("jobReply", org.apache.thrift.protocol.TType.STRUCT, (short)9);
+  private static final org.apache.thrift.protocol.TField DRAIN_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("drainRequest", org.apache.thrift.protocol.TType.STRUCT, (short)10);
+  private static final org.apache.thrift.protocol.TField DRAIN_REPLY_FIELD_DESC = new org.apache.thrift.protocol.TField("drainReply", org.apache.thrift.protocol.TType.STRUCT, (short)11);
+  private static final org.apache.thrift.protocol.TField LOAD_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("loadRequest", org.apache.thrift.protocol.TType.STRUCT, (short)12);
+  private static final org.apache.thrift.protocol.TField LOAD_REPLY_FIELD_DESC = new org.apache.thrift.protocol.TField("loadReply", org.apache.thrift.protocol.TType.STRUCT, (short)13);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -25,7 +31,13 @@
     CONFIG_PULL((short)4, "configPull"),
     CONFIG_PUSH((short)5, "configPush"),
     RELAY((short)6, "relay"),
-    FAILURE((short)7, "failure");
+    FAILURE((short)7, "failure"),
+    JOB_REQUEST((short)8, "jobRequest"),
+    JOB_REPLY((short)9, "jobReply"),
+    DRAIN_REQUEST((short)10, "drainRequest"),
+    DRAIN_REPLY((short)11, "drainReply"),
+    LOAD_REQUEST((short)12, "loadRequest"),
+    LOAD_REPLY((short)13, "loadReply");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -55,6 +67,18 @@
           return RELAY;
         case 7: // FAILURE
           return FAILURE;
+        case 8: // JOB_REQUEST
+          return JOB_REQUEST;
+        case 9: // JOB_REPLY
+          return JOB_REPLY;
+        case 10: // DRAIN_REQUEST
+          return DRAIN_REQUEST;
+        case 11: // DRAIN_REPLY
+          return DRAIN_REPLY;
+        case 12: // LOAD_REQUEST
+          return LOAD_REQUEST;
+        case 13: // LOAD_REPLY
+          return LOAD_REPLY;
         default:
           return null;
       }
@@ -114,6 +138,18 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Relay.class)));
     tmpMap.put(_Fields.FAILURE, new org.apache.thrift.meta_data.FieldMetaData("failure", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.JOB_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("jobRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, JobRequest.class)));
+    tmpMap.put(_Fields.JOB_REPLY, new org.apache.thrift.meta_data.FieldMetaData("jobReply", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, JobReply.class)));
+    tmpMap.put(_Fields.DRAIN_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("drainRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, DrainRequest.class)));
+    tmpMap.put(_Fields.DRAIN_REPLY, new org.apache.thrift.meta_data.FieldMetaData("drainReply", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, DrainReply.class)));
+    tmpMap.put(_Fields.LOAD_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("loadRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LoadRequest.class)));
+    tmpMap.put(_Fields.LOAD_REPLY, new org.apache.thrift.meta_data.FieldMetaData("loadReply", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LoadReply.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Body.class, metaDataMap);
   }
@@ -176,6 +212,42 @@
     return x;
   }
 
+  public static Body jobRequest(JobRequest value) {
+    Body x = new Body();
+    x.setJobRequest(value);
+    return x;
+  }
+
+  public static Body jobReply(JobReply value) {
+    Body x = new Body();
+    x.setJobReply(value);
+    return x;
+  }
+
+  public static Body drainRequest(DrainRequest value) {
+    Body x = new Body();
+    x.setDrainRequest(value);
+    return x;
+  }
+
+  public static Body drainReply(DrainReply value) {
+    Body x = new Body();
+    x.setDrainReply(value);
+    return x;
+  }
+
+  public static Body loadRequest(LoadRequest value) {
+    Body x = new Body();
+    x.setLoadRequest(value);
+    return x;
+  }
+
+  public static Body loadReply(LoadReply value) {
+    Body x = new Body();
+    x.setLoadReply(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -215,6 +287,36 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type java.lang.String for field 'failure', but got " + value.getClass().getSimpleName());
+      case JOB_REQUEST:
+        if (value instanceof JobRequest) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type JobRequest for field 'jobRequest', but got " + value.getClass().getSimpleName());
+      case JOB_REPLY:
+        if (value instanceof JobReply) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type JobReply for field 'jobReply', but got " + value.getClass().getSimpleName());
+      case DRAIN_REQUEST:
+        if (value instanceof DrainRequest) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type DrainRequest for field 'drainRequest', but got " + value.getClass().getSimpleName());
+      case DRAIN_REPLY:
+        if (value instanceof DrainReply) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type DrainReply for field 'drainReply', but got " + value.getClass().getSimpleName());
+      case LOAD_REQUEST:
+        if (value instanceof LoadRequest) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type LoadRequest for field 'loadRequest', but got " + value.getClass().getSimpleName());
+      case LOAD_REPLY:
+        if (value instanceof LoadReply) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type LoadReply for field 'loadReply', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -294,6 +396,66 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case JOB_REQUEST:
+          if (field.type == JOB_REQUEST_FIELD_DESC.type) {
+            JobRequest jobRequest;
+            jobRequest = new JobRequest();
+            jobRequest.read(iprot);
+            return jobRequest;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case JOB_REPLY:
+          if (field.type == JOB_REPLY_FIELD_DESC.type) {
+            JobReply jobReply;
+            jobReply = new JobReply();
+            jobReply.read(iprot);
+            return jobReply;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case DRAIN_REQUEST:
+          if (field.type == DRAIN_REQUEST_FIELD_DESC.type) {
+            DrainRequest drainRequest;
+            drainRequest = new DrainRequest();
+            drainRequest.read(iprot);
+            return drainRequest;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case DRAIN_REPLY:
+          if (field.type == DRAIN_REPLY_FIELD_DESC.type) {
+            DrainReply drainReply;
+            drainReply = new DrainReply();
+            drainReply.read(iprot);
+            return drainReply;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case LOAD_REQUEST:
+          if (field.type == LOAD_REQUEST_FIELD_DESC.type) {
+            LoadRequest loadRequest;
+            loadRequest = new LoadRequest();
+            loadRequest.read(iprot);
+            return loadRequest;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case LOAD_REPLY:
+          if (field.type == LOAD_REPLY_FIELD_DESC.type) {
+            LoadReply loadReply;
+            loadReply = new LoadReply();
+            loadReply.read(iprot);
+            return loadReply;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -334,6 +496,30 @@
         java.lang.String failure = (java.lang.String)value_;
         oprot.writeString(failure);
         return;
+      case JOB_REQUEST:
+        JobRequest jobRequest = (JobRequest)value_;
+        jobRequest.write(oprot);
+        return;
+      case JOB_REPLY:
+        JobReply jobReply = (JobReply)value_;
+        jobReply.write(oprot);
+        return;
+      case DRAIN_REQUEST:
+        DrainRequest drainRequest = (DrainRequest)value_;
+        drainRequest.write(oprot);
+        return;
+      case DRAIN_REPLY:
+        DrainReply drainReply = (DrainReply)value_;
+        drainReply.write(oprot);
+        return;
+      case LOAD_REQUEST:
+        LoadRequest loadRequest = (LoadRequest)value_;
+        loadRequest.write(oprot);
+        return;
+      case LOAD_REPLY:
+        LoadReply loadReply = (LoadReply)value_;
+        loadReply.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -378,6 +564,36 @@
           java.lang.String failure;
           failure = iprot.readString();
           return failure;
+        case JOB_REQUEST:
+          JobRequest jobRequest;
+          jobRequest = new JobRequest();
+          jobRequest.read(iprot);
+          return jobRequest;
+        case JOB_REPLY:
+          JobReply jobReply;
+          jobReply = new JobReply();
+          jobReply.read(iprot);
+          return jobReply;
+        case DRAIN_REQUEST:
+          DrainRequest drainRequest;
+          drainRequest = new DrainRequest();
+          drainRequest.read(iprot);
+          return drainRequest;
+        case DRAIN_REPLY:
+          DrainReply drainReply;
+          drainReply = new DrainReply();
+          drainReply.read(iprot);
+          return drainReply;
+        case LOAD_REQUEST:
+          LoadRequest loadRequest;
+          loadRequest = new LoadRequest();
+          loadRequest.read(iprot);
+          return loadRequest;
+        case LOAD_REPLY:
+          LoadReply loadReply;
+          loadReply = new LoadReply();
+          loadReply.read(iprot);
+          return loadReply;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -417,6 +633,30 @@
         java.lang.String failure = (java.lang.String)value_;
         oprot.writeString(failure);
         return;
+      case JOB_REQUEST:
+        JobRequest jobRequest = (JobRequest)value_;
+        jobRequest.write(oprot);
+        return;
+      case JOB_REPLY:
+        JobReply jobReply = (JobReply)value_;
+        jobReply.write(oprot);
+        return;
+      case DRAIN_REQUEST:
+        DrainRequest drainRequest = (DrainRequest)value_;
+        drainRequest.write(oprot);
+        return;
+      case DRAIN_REPLY:
+        DrainReply drainReply = (DrainReply)value_;
+        drainReply.write(oprot);
+        return;
+      case LOAD_REQUEST:
+        LoadRequest loadRequest = (LoadRequest)value_;
+        loadRequest.write(oprot);
+        return;
+      case LOAD_REPLY:
+        LoadReply loadReply = (LoadReply)value_;
+        loadReply.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -439,6 +679,18 @@
         return RELAY_FIELD_DESC;
       case FAILURE:
         return FAILURE_FIELD_DESC;
+      case JOB_REQUEST:
+        return JOB_REQUEST_FIELD_DESC;
+      case JOB_REPLY:
+        return JOB_REPLY_FIELD_DESC;
+      case DRAIN_REQUEST:
+        return DRAIN_REQUEST_FIELD_DESC;
+      case DRAIN_REPLY:
+        return DRAIN_REPLY_FIELD_DESC;
+      case LOAD_REQUEST:
+        return LOAD_REQUEST_FIELD_DESC;
+      case LOAD_REPLY:
+        return LOAD_REPLY_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -552,6 +804,84 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.FAILURE");
   }
 
+  public JobRequest getJobRequest() {
+    if (getSetField() == _Fields.JOB_REQUEST) {
+      return (JobRequest)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'jobRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setJobRequest(JobRequest value) {
+    setField_ = _Fields.JOB_REQUEST;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.JOB_REQUEST");
+  }
+
+  public JobReply getJobReply() {
+    if (getSetField() == _Fields.JOB_REPLY) {
+      return (JobReply)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'jobReply' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setJobReply(JobReply value) {
+    setField_ = _Fields.JOB_REPLY;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.JOB_REPLY");
+  }
+
+  public DrainRequest getDrainRequest() {
+    if (getSetField() == _Fields.DRAIN_REQUEST) {
+      return (DrainRequest)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'drainRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setDrainRequest(DrainRequest value) {
+    setField_ = _Fields.DRAIN_REQUEST;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.DRAIN_REQUEST");
+  }
+
+  public DrainReply getDrainReply() {
+    if (getSetField() == _Fields.DRAIN_REPLY) {
+      return (DrainReply)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'drainReply' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setDrainReply(DrainReply value) {
+    setField_ = _Fields.DRAIN_REPLY;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.DRAIN_REPLY");
+  }
+
+  public LoadRequest getLoadRequest() {
+    if (getSetField() == _Fields.LOAD_REQUEST) {
+      return (LoadRequest)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'loadRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setLoadRequest(LoadRequest value) {
+    setField_ = _Fields.LOAD_REQUEST;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.LOAD_REQUEST");
+  }
+
+  public LoadReply getLoadReply() {
+    if (getSetField() == _Fields.LOAD_REPLY) {
+      return (LoadReply)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'loadReply' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setLoadReply(LoadReply value) {
+    setField_ = _Fields.LOAD_REPLY;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.LOAD_REPLY");
+  }
+
   public boolean isSetHeartbeat() {
     return setField_ == _Fields.HEARTBEAT;
   }
@@ -587,6 +917,36 @@
   }
 
 
+  public boolean isSetJobRequest() {
+    return setField_ == _Fields.JOB_REQUEST;
+  }
+
+
+  public boolean isSetJobReply() {
+    return setField_ == _Fields.JOB_REPLY;
+  }
+
+
+  public boolean isSetDrainRequest() {
+    return setField_ == _Fields.DRAIN_REQUEST;
+  }
+
+
+  public boolean isSetDrainReply() {
+    return setField_ == _Fields.DRAIN_REPLY;
+  }
+
+
+  public boolean isSetLoadRequest() {
+    return setField_ == _Fields.LOAD_REQUEST;
+  }
+
+
+  public boolean isSetLoadReply() {
+    return setField_ == _Fields.LOAD_REPLY;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof Body) {
       return equals((Body)other);
--- a/wire/src/main/java/org/endivetray/wire/InnerPeer.java
+++ b/wire/src/main/java/org/endivetray/wire/InnerPeer.java
@@ -39,6 +39,7 @@
     private final AtomicLong mSentBytes;
     private final Map<Long, Promise<Body>> mPending = new HashMap<>();
     private Future<NetSocket> mSocket;
+    private long mReceivedNanos = System.nanoTime();
     private long mNextId = 1;
 
     /**
@@ -100,7 +101,8 @@
         }
         long id = mNextId++;
         mPending.put(id, reply);
-        long timer = mVertx.setTimer(timeoutMillis, ignored -> fail(id, "no reply in time"));
+        long sentNanos = System.nanoTime();
+        long timer = mVertx.setTimer(timeoutMillis, ignored -> onTimeout(id, sentNanos));
         reply.future()
                 .onComplete(
                         ignored -> {
@@ -112,6 +114,17 @@
                 .onFailure(cause -> fail(id, "cannot connect: " + cause.getMessage()));
     }
 
+    /** Fails a message, and replaces a connection on which nothing has arrived since. */
+    private void onTimeout(long id, long sentNanos) {
+        boolean isSilent = mReceivedNanos - sentNanos < 0;
+        fail(id, "no reply in time");
+        if (isSilent && mSocket != null) {
+            Future<NetSocket> silent = mSocket;
+            mSocket = null;
+            silent.onSuccess(NetSocket::close);
+        }
+    }
+
     private void write(NetSocket socket, Envelope envelope) {
         var frame = InnerCodec.encode(envelope);
         mSentBytes.addAndGet(frame.length());
@@ -130,6 +143,7 @@
         FrameReader reader = new FrameReader(this::onReply);
         socket.handler(
                 bytes -> {
+                    mReceivedNanos = System.nanoTime();
                     try {
                         reader.onBytes(bytes);
                     } catch (RuntimeException e) {
@@ -137,7 +151,7 @@
                     }
                 });
         socket.exceptionHandler(cause -> socket.close());
-        socket.closeHandler(ignored -> onClosed());
+        socket.closeHandler(ignored -> onClosed(socket));
         return socket;
     }
 
@@ -154,7 +168,11 @@
         }
     }
 
-    private void onClosed() {
+    private void onClosed(NetSocket socket) {
+        boolean isCurrent = mSocket != null && mSocket.result() == socket;
+        if (mSocket != null && !isCurrent) {
+            return;
+        }
         mSocket = null;
         for (Long id : List.copyOf(mPending.keySet())) {
             fail(id, "connection closed");
--- a/wire/src/main/thrift/inner.thrift
+++ b/wire/src/main/thrift/inner.thrift
@@ -64,6 +64,81 @@
   2: required binary payload
 }
 
+/** How a queue's jobs are to be treated, as of the sender's configuration. */
+struct QueueTerms {
+  1: required string queueName
+  2: required i32 priority
+  3: required i32 attempts
+  4: required double stretch
+  5: required i64 targetLatencyMillis
+  6: required bool placementAdvice
+}
+
+/** What is asked of the owner of a pool's jobs. */
+enum JobAction {
+  SUBMIT = 1
+  STATE = 2
+  CANCEL = 3
+  PENDING = 4
+}
+
+/** A caller's request about a job, sent to the owner of the pool's jobs. */
+struct JobRequest {
+  1: required JobAction action
+  2: required string poolName
+  3: required QueueTerms terms
+  4: required string jobId
+  5: required binary body
+  6: required bool mayForward
+}
+
+/** What became of a job request. */
+enum JobVerdict {
+  OK = 1
+  REFUSED = 2
+  MALFORMED = 3
+  NO_SUCH_JOB = 4
+  UNKNOWN = 5
+  NOT_OWNER = 6
+}
+
+/** Answers a job request. */
+struct JobReply {
+  1: required JobVerdict verdict
+  2: required string state
+  3: required i32 pending
+  4: required i64 retryAfterMillis
+  5: required string reason
+}
+
+/** Asks the owner of a pool's jobs to empty a minion; holds for a short time only. */
+struct DrainRequest {
+  1: required string poolName
+  2: required string minion
+  3: required bool isUrgent
+}
+
+/** Answers a drain request. */
+struct DrainReply {
+  1: required bool isOwner
+  2: required bool isEmpty
+}
+
+/** Asks the owner of a pool's jobs for the pool's load. */
+struct LoadRequest {
+  1: required string poolName
+}
+
+/** The load of one pool. */
+struct LoadReply {
+  1: required bool isOwner
+  2: required i64 waitingCpuMillis
+  3: required i64 usedCpuMillis
+  4: required i64 totalCpuMillis
+  5: required list<string> emptyMinions
+  6: required list<string> pinnedMinions
+}
+
 union Body {
   1: Heartbeat heartbeat
   2: SlotReport slotReport
@@ -72,6 +147,12 @@
   5: ConfigPush configPush
   6: Relay relay
   7: string failure
+  8: JobRequest jobRequest
+  9: JobReply jobReply
+  10: DrainRequest drainRequest
+  11: DrainReply drainReply
+  12: LoadRequest loadRequest
+  13: LoadReply loadReply
 }
 
 /** One framed message. */
