--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -9,10 +9,14 @@
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import org.endivetray.daemon.duty.Duty;
+import org.endivetray.daemon.job.fleet.FleetContext;
+import org.endivetray.daemon.job.fleet.FleetKeeper;
 import org.endivetray.daemon.job.front.InnerJobs;
+import org.endivetray.daemon.job.front.InnerMessages;
 import org.endivetray.daemon.job.front.JobRouter;
 import org.endivetray.daemon.job.front.LocalShards;
 import org.endivetray.daemon.job.front.Peers;
+import org.endivetray.daemon.job.front.PoolOwners;
 import org.endivetray.daemon.job.own.LiveView;
 import org.endivetray.daemon.job.own.LiveWatch;
 import org.endivetray.daemon.job.own.MinionDirectory;
@@ -27,6 +31,7 @@
 import org.endivetray.platform.SharedStore;
 import org.endivetray.platform.site.SiteAdvice;
 import org.endivetray.platform.site.SiteFront;
+import org.endivetray.platform.site.SiteMachines;
 import org.endivetray.platform.site.SiteMinions;
 import org.endivetray.platform.site.SiteStore;
 import org.endivetray.wire.InnerServer;
@@ -73,6 +78,7 @@
     private final MinionDirectory mMinions;
     private final Ownership mOwnership;
     private final ShardHost mShards;
+    private final FleetKeeper mFleet;
     private final JobRouter mRouter;
     private final SiteFront mFront;
     private final InnerServer mInner;
@@ -100,7 +106,22 @@
         Peers peers = new Peers(mVertx, settings.name(), incarnation);
         mSite = new SiteWatch(mStore, mCalls, this::onSiteChange);
         mLive = new LiveWatch(mStore, mCalls, () -> {});
-        mShards = new ShardHost(shardContext(metrics), local, this::ownership);
+        InnerJobs innerJobs = new InnerJobs(local, mCalls);
+        mFleet =
+                new FleetKeeper(
+                        new FleetContext(
+                                settings.name(),
+                                mStore,
+                                new SiteMachines(
+                                        mVertx,
+                                        settings.machines().host(),
+                                        settings.machines().port()),
+                                new PoolOwners(settings.name(), mLive::view, peers, innerJobs),
+                                mCalls,
+                                this::hasJobs,
+                                settings.holderMillis()),
+                        mSite);
+        mShards = new ShardHost(shardContext(metrics), local, mFleet, this::ownership);
         mMinions = new MinionDirectory(mStore, mCalls, mShards::isNeeded, this::onMinions);
         mRouter =
                 new JobRouter(
@@ -111,7 +132,7 @@
                         mVertx,
                         settings.name(),
                         incarnation,
-                        new InnerJobs(mRouter, local, mCalls));
+                        new InnerMessages(mRouter, innerJobs));
         mMetricsServer = new MetricsServer(mVertx, metrics);
         LiveView.DaemonRecord self =
                 new LiveView.DaemonRecord(
@@ -147,6 +168,12 @@
                 new ShardLimits(mSettings.maxLeaseMillis(), mSettings.retentionMillis()));
     }
 
+    private boolean hasJobs(String pool) {
+        SiteConfig config = mSite.config();
+        return config != null
+                && config.queues().stream().anyMatch(queue -> queue.pool().equals(pool));
+    }
+
     private Ownership ownership() {
         return mOwnership;
     }
@@ -185,7 +212,7 @@
         if (config == null) {
             return;
         }
-        Set<String> wanted = new TreeSet<>();
+        Set<String> wanted = new TreeSet<>(Set.of(FleetKeeper.SHARD));
         config.queues().forEach(queue -> wanted.add(queue.pool()));
         mOwnership.want(wanted);
     }
@@ -201,6 +228,7 @@
         }
         mMinions.ensureRunning();
         mShards.tick(now);
+        mFleet.tick(now);
         boolean canServe = mSite.config() != null && mLive.view().revision() > 0;
         mRouter.setReady(canServe);
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/ShardHost.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ShardHost.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
+import org.endivetray.daemon.job.fleet.FleetKeeper;
 import org.endivetray.daemon.job.front.LocalShards;
 import org.endivetray.daemon.job.own.MinionDirectory;
 import org.endivetray.daemon.job.own.Ownership;
@@ -22,16 +23,26 @@
     private final ShardContext mContext;
     private final LocalShards mLocal;
     private final Supplier<Ownership> mOwnership;
+    private final FleetKeeper mFleet;
     private final Map<String, DurationModel> mDurations = new HashMap<>();
 
-    ShardHost(ShardContext context, LocalShards local, Supplier<Ownership> ownership) {
+    ShardHost(
+            ShardContext context,
+            LocalShards local,
+            FleetKeeper fleet,
+            Supplier<Ownership> ownership) {
         mContext = context;
         mLocal = local;
+        mFleet = fleet;
         mOwnership = ownership;
     }
 
     @Override
     public void onOwned(String shard, long token) {
+        if (shard.equals(FleetKeeper.SHARD)) {
+            mFleet.onOwned(new Condition(JobKeys.OWNER_PREFIX + shard, token));
+            return;
+        }
         mContext.metrics().onTakeover(shard);
         DurationModel durations = mDurations.computeIfAbsent(shard, ignored -> new DurationModel());
         mLocal.put(
@@ -45,6 +56,10 @@
 
     @Override
     public void onLost(String shard, String reason) {
+        if (shard.equals(FleetKeeper.SHARD)) {
+            mFleet.onLost();
+            return;
+        }
         Shard lost = mLocal.get(shard);
         if (lost != null) {
             lost.lose(reason);
@@ -53,6 +68,12 @@
 
     @Override
     public void onRelease(String shard) {
+        if (shard.equals(FleetKeeper.SHARD)) {
+            long token = mFleet.token();
+            mFleet.onLost();
+            mOwnership.get().onReleased(shard, token);
+            return;
+        }
         Shard released = mLocal.get(shard);
         if (released != null) {
             released.close();
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetContext.java
@@ -0,0 +1,29 @@
+package org.endivetray.daemon.job.fleet;
+
+import java.util.function.Predicate;
+import org.endivetray.daemon.job.DutyCalls;
+import org.endivetray.daemon.job.front.PoolOwners;
+import org.endivetray.platform.MachineService;
+import org.endivetray.platform.SharedStore;
+
+/**
+ * What the keeper of the fleet works with.
+ *
+ * <p>This class is immutable and thread-safe.
+ *
+ * @param name this daemon's name, not null
+ * @param store the shared store, not null
+ * @param machines the platform's machine service, not null
+ * @param owners the owners of shards, not null
+ * @param calls runs results on the scheduler's thread, not null
+ * @param hasJobs whether a pool's minions run jobs, not null
+ * @param holderMillis time between orders of two holders for one worker, in milliseconds
+ */
+public record FleetContext(
+        String name,
+        SharedStore store,
+        MachineService machines,
+        PoolOwners owners,
+        DutyCalls calls,
+        Predicate<String> hasJobs,
+        long holderMillis) {}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetKeeper.java
@@ -0,0 +1,122 @@
+package org.endivetray.daemon.job.fleet;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.endivetray.daemon.job.own.SiteWatch;
+import org.endivetray.job.WaveRequest;
+import org.endivetray.job.WorkerInfo;
+import org.endivetray.platform.SharedStore.Condition;
+
+/**
+ * Carries out maintenance waves, as the one holder of orders to workers.
+ *
+ * <p>A new holder waits until orders of the one before can no longer overlap with its own.
+ *
+ * <p>Invariants: orders are given only under a token that is held.
+ *
+ * <p>This class is not thread-safe; it belongs to the scheduler's thread.
+ */
+public final class FleetKeeper {
+    /** Name of the shard whose owner is the holder. No pool has such a name. */
+    public static final String SHARD = "@fleet";
+
+    private static final Logger LOGGER = System.getLogger(FleetKeeper.class.getName());
+
+    /** Added to the time between two holders for the way of an order. */
+    private static final long HOLDER_MARGIN_MILLIS = 700;
+
+    /** Time between looks at the workers while a wave is open. */
+    private static final long LIST_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    private final FleetContext mContext;
+    private final SiteWatch mSite;
+    private final Map<Long, WaveRun> mWaves = new TreeMap<>();
+    private Condition mOwner;
+    private long mNotBeforeNanos;
+    private long mListedNanos;
+    private boolean mIsListing;
+
+    /**
+     * Constructs a keeper that holds nothing.
+     *
+     * @param context what it works with, not null
+     * @param site the operators' wishes, not null
+     */
+    public FleetKeeper(FleetContext context, SiteWatch site) {
+        mContext = context;
+        mSite = site;
+    }
+
+    /** Takes note that this daemon is the holder. */
+    public void onOwned(Condition owner) {
+        LOGGER.log(Level.INFO, "fleet: held token={0}", Long.toString(owner.version()));
+        mOwner = owner;
+        mWaves.clear();
+        mNotBeforeNanos =
+                System.nanoTime()
+                        + TimeUnit.MILLISECONDS.toNanos(
+                                mContext.holderMillis() + HOLDER_MARGIN_MILLIS);
+    }
+
+    /** Takes note that this daemon is no longer the holder. */
+    public void onLost() {
+        if (mOwner != null) {
+            LOGGER.log(Level.INFO, "fleet: given up token={0}", Long.toString(mOwner.version()));
+        }
+        mOwner = null;
+        mWaves.values().forEach(WaveRun::end);
+        mWaves.clear();
+    }
+
+    /** Returns the token under which orders are given, 0 if none is held. */
+    public long token() {
+        return mOwner == null ? 0 : mOwner.version();
+    }
+
+    /** Does what is due. */
+    public void tick(long nowNanos) {
+        if (mOwner == null) {
+            return;
+        }
+        for (WaveRequest wave : mSite.waves().values()) {
+            mWaves.computeIfAbsent(wave.number(), number -> new WaveRun(mContext, mOwner, wave));
+        }
+        boolean isOpen = false;
+        for (WaveRun wave : mWaves.values()) {
+            wave.tick(nowNanos);
+            isOpen |= wave.isOpen();
+        }
+        boolean mayOrder = nowNanos - mNotBeforeNanos >= 0;
+        if (isOpen && mayOrder && !mIsListing && nowNanos - mListedNanos >= LIST_NANOS) {
+            list(nowNanos);
+        }
+    }
+
+    private void list(long nowNanos) {
+        mIsListing = true;
+        mListedNanos = nowNanos;
+        Condition owner = mOwner;
+        mContext.calls()
+                .then(
+                        mContext.machines().list(),
+                        (workers, cause) -> {
+                            mIsListing = false;
+                            if (cause != null) {
+                                LOGGER.log(Level.INFO, "fleet: workers not listed {0}", cause);
+                            } else if (mOwner == owner) {
+                                onWorkers(workers, nowNanos);
+                            }
+                        });
+    }
+
+    private void onWorkers(List<WorkerInfo> workers, long sentNanos) {
+        Map<String, WorkerInfo> byId = new HashMap<>();
+        workers.forEach(worker -> byId.put(worker.id(), worker));
+        mWaves.values().forEach(wave -> wave.onWorkers(byId, sentNanos));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/WaveRun.java
@@ -0,0 +1,340 @@
+package org.endivetray.daemon.job.fleet;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import org.endivetray.daemon.job.record.StoredWave;
+import org.endivetray.job.WaveRequest;
+import org.endivetray.job.WorkerInfo;
+import org.endivetray.platform.Codec;
+import org.endivetray.platform.MachineService.WorkerOrderOutcome;
+import org.endivetray.platform.SharedStore;
+import org.endivetray.platform.SharedStore.Commit;
+import org.endivetray.platform.SharedStore.CommitOutcome;
+import org.endivetray.platform.SharedStore.Condition;
+import org.endivetray.platform.SharedStore.Write;
+import org.endivetray.platform.Versioned;
+import org.endivetray.platform.site.SiteCodec;
+import org.endivetray.policy.job.WaveSchedule;
+
+/**
+ * One maintenance wave under way: workers are emptied, taken into upkeep and counted.
+ *
+ * <p>Invariants: no more workers of the wave are down than it allows, counting orders that were not
+ * answered; the wave is reported as completed only once every worker that is still listed has begun
+ * its upkeep and that is stored.
+ *
+ * <p>This class is not thread-safe; it belongs to the scheduler's thread.
+ */
+final class WaveRun {
+    private static final Logger LOGGER = System.getLogger(WaveRun.class.getName());
+    private static final String KEY_PREFIX = "endivetray/fleet/wave/";
+
+    /** Time between requests to empty a worker. */
+    private static final long DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /** Time after which what still runs on a worker is moved. Several usual tasks. */
+    private static final long PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
+
+    /** Time that a worker usually takes from the request to empty it until it is back. */
+    private static final long CYCLE_MILLIS = 5_500;
+
+    private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    private final FleetContext mContext;
+    private final Condition mOwner;
+    private final WaveRequest mWave;
+    private final Set<String> mDone = new TreeSet<>();
+    private final Map<String, Outage> mOutages = new LinkedHashMap<>();
+    private Map<String, WorkerInfo> mWorkers = Map.of();
+    private long mVersion;
+    private long mStartMillis;
+    private long mNextNanos;
+    private boolean mIsLoaded;
+    private boolean mIsCalling;
+    private boolean mIsDirty;
+    private boolean mIsReportedRunning;
+    private boolean mIsCompleted;
+    private boolean mIsEnded;
+
+    WaveRun(FleetContext context, Condition owner, WaveRequest wave) {
+        mContext = context;
+        mOwner = owner;
+        mWave = wave;
+    }
+
+    boolean isOpen() {
+        return mIsLoaded && !mIsCompleted;
+    }
+
+    void end() {
+        mIsEnded = true;
+    }
+
+    void tick(long nowNanos) {
+        if (mIsCompleted || mIsEnded) {
+            return;
+        }
+        if (!mIsCalling && nowNanos - mNextNanos >= 0) {
+            if (!mIsLoaded) {
+                load();
+            } else if (mIsDirty) {
+                store();
+            }
+        }
+        if (mIsLoaded) {
+            mOutages.values().forEach(outage -> outage.tick(nowNanos));
+        }
+    }
+
+    private void load() {
+        mIsCalling = true;
+        mContext.calls()
+                .then(
+                        mContext.store().read(KEY_PREFIX + mWave.number()),
+                        (item, cause) -> {
+                            mIsCalling = false;
+                            if (cause != null) {
+                                mNextNanos = System.nanoTime() + RETRY_NANOS;
+                            } else {
+                                onLoaded(item);
+                            }
+                        });
+    }
+
+    private void onLoaded(Versioned item) {
+        mIsLoaded = true;
+        mVersion = item.version();
+        mStartMillis = System.currentTimeMillis();
+        if (item.isPresent()) {
+            StoredWave stored = Codec.decode(item.key(), item.value(), StoredWave.class);
+            mDone.addAll(stored.done());
+            mStartMillis = stored.startMillis();
+            mIsCompleted = stored.isCompleted();
+            mIsReportedRunning = true;
+        }
+        mIsDirty = !item.isPresent();
+        LOGGER.log(
+                Level.INFO,
+                "wave: open wave={0} workers={1} done={2}",
+                Long.toString(mWave.number()),
+                Integer.toString(mWave.workers().size()),
+                Integer.toString(mDone.size()));
+    }
+
+    /** Stores how far the wave is, and tells the operators. */
+    private void store() {
+        boolean isComplete = isComplete();
+        String key = KEY_PREFIX + mWave.number();
+        List<Write> writes = new ArrayList<>();
+        StoredWave stored = new StoredWave(mStartMillis, mDone, isComplete);
+        writes.add(new Write(key, Codec.encode(stored), SharedStore.NO_LEASE));
+        if (isComplete || !mIsReportedRunning) {
+            writes.add(
+                    new Write(
+                            SiteCodec.WAVE_STATES_PREFIX + mWave.number(),
+                            SiteCodec.waveState(mWave.number(), isComplete),
+                            SharedStore.NO_LEASE));
+        }
+        mIsCalling = true;
+        mIsDirty = false;
+        mContext.calls()
+                .then(
+                        mContext.store()
+                                .commit(
+                                        new Commit(
+                                                List.of(mOwner, new Condition(key, mVersion)),
+                                                writes,
+                                                List.of())),
+                        (result, cause) -> {
+                            mIsCalling = false;
+                            if (result.isDone()) {
+                                mVersion = result.revision();
+                                mIsReportedRunning = true;
+                                onStored(isComplete);
+                            } else {
+                                mIsDirty = true;
+                                mNextNanos = System.nanoTime() + RETRY_NANOS;
+                                if (result.outcome() == CommitOutcome.CONFLICT) {
+                                    mVersion = result.currentOf(key).version();
+                                }
+                            }
+                        });
+    }
+
+    private void onStored(boolean isComplete) {
+        if (isComplete) {
+            mIsCompleted = true;
+            LOGGER.log(
+                    Level.INFO,
+                    "wave: completed wave={0} millis={1}",
+                    Long.toString(mWave.number()),
+                    Long.toString(System.currentTimeMillis() - mStartMillis));
+        }
+    }
+
+    private boolean isComplete() {
+        return !mWorkers.isEmpty() && left().isEmpty();
+    }
+
+    private List<String> left() {
+        return mWave.workers().stream()
+                .filter(worker -> !mDone.contains(worker) && mWorkers.containsKey(worker))
+                .toList();
+    }
+
+    /**
+     * Takes note of the workers and begins what is due.
+     *
+     * @param workers all workers by id, not null
+     * @param sentNanos when the list was asked for
+     */
+    void onWorkers(Map<String, WorkerInfo> workers, long sentNanos) {
+        if (!isOpen() || mIsEnded) {
+            return;
+        }
+        mWorkers = workers;
+        mOutages.values().removeIf(outage -> outage.isOver(workers, sentNanos));
+        mIsDirty |= isComplete();
+        List<String> left = left();
+        int wanted =
+                WaveSchedule.atOnce(
+                        left.size(),
+                        mWave.maxAtOnce(),
+                        System.currentTimeMillis() - mStartMillis,
+                        mWave.durationMillis(),
+                        CYCLE_MILLIS);
+        Map<String, Integer> perPool = new HashMap<>();
+        mOutages.keySet().forEach(id -> perPool.merge(poolOf(id), 1, Integer::sum));
+        List<String> choices = new ArrayList<>(left);
+        choices.removeAll(mOutages.keySet());
+        choices.removeIf(id -> !workers.get(id).status().takesOrders());
+        while (mOutages.size() < wanted && !choices.isEmpty()) {
+            String next = leastHit(choices, perPool);
+            choices.remove(next);
+            perPool.merge(poolOf(next), 1, Integer::sum);
+            mOutages.put(next, new Outage(next));
+        }
+    }
+
+    /** Returns the worker whose pool has the fewest workers out at the moment. */
+    private String leastHit(List<String> choices, Map<String, Integer> perPool) {
+        String best = choices.get(0);
+        for (String id : choices) {
+            if (perPool.getOrDefault(poolOf(id), 0) < perPool.getOrDefault(poolOf(best), 0)) {
+                best = id;
+            }
+        }
+        return best;
+    }
+
+    private String poolOf(String worker) {
+        WorkerInfo info = mWorkers.get(worker);
+        return info == null ? "" : info.pool();
+    }
+
+    private long downCount() {
+        return mOutages.values().stream().filter(outage -> outage.mOrderedNanos != 0).count();
+    }
+
+    /** One worker on its way into upkeep and back. */
+    private final class Outage {
+        private final String mWorker;
+        private final long mSinceNanos = System.nanoTime();
+        private String mMinion = "";
+        private long mNextDrainNanos;
+        private long mOrderedNanos;
+        private boolean mIsAsking;
+        private boolean mHasBegun;
+        private boolean mWasSeenDown;
+
+        private Outage(String worker) {
+            mWorker = worker;
+        }
+
+        private void tick(long nowNanos) {
+            boolean isDue = nowNanos - mNextDrainNanos >= 0;
+            if (mIsAsking || mHasBegun || !isDue || mIsEnded) {
+                return;
+            }
+            mNextDrainNanos = nowNanos + DRAIN_NANOS;
+            WorkerInfo info = mWorkers.get(mWorker);
+            if (info == null || !info.status().takesOrders()) {
+                return;
+            }
+            mMinion = info.minion();
+            if (!mContext.hasJobs().test(info.pool())) {
+                order();
+                return;
+            }
+            mIsAsking = true;
+            boolean isUrgent = nowNanos - mSinceNanos >= PATIENCE_NANOS;
+            mContext.calls()
+                    .then(
+                            mContext.owners().drain(info.pool(), mMinion, isUrgent),
+                            (reply, cause) -> {
+                                mIsAsking = false;
+                                if (cause == null && reply.isIsEmpty() && !mIsEnded) {
+                                    order();
+                                }
+                            });
+        }
+
+        private void order() {
+            if (mOrderedNanos == 0 && downCount() >= mWave.maxAtOnce()) {
+                return;
+            }
+            mOrderedNanos = System.nanoTime();
+            mIsAsking = true;
+            mContext.calls()
+                    .then(
+                            mContext.machines()
+                                    .upkeep(
+                                            mWorker,
+                                            mWave.number(),
+                                            mContext.name(),
+                                            mOwner.version()),
+                            (outcome, cause) -> onOutcome(outcome));
+        }
+
+        private void onOutcome(WorkerOrderOutcome outcome) {
+            mIsAsking = false;
+            LOGGER.log(
+                    Level.INFO,
+                    "wave: upkeep wave={0} worker={1} minion={2} outcome={3} waited={4}ms",
+                    Long.toString(mWave.number()),
+                    mWorker,
+                    mMinion,
+                    outcome,
+                    Long.toString(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mSinceNanos)));
+            switch (outcome) {
+                case DONE -> {
+                    mHasBegun = true;
+                    mDone.add(mWorker);
+                    mIsDirty = true;
+                }
+                case UNKNOWN -> {}
+                default -> mOrderedNanos = 0;
+            }
+        }
+
+        /** Returns whether the worker is up again after its upkeep. */
+        private boolean isOver(Map<String, WorkerInfo> workers, long sentNanos) {
+            WorkerInfo info = workers.get(mWorker);
+            if (info == null) {
+                return true;
+            }
+            boolean isLater = mHasBegun && sentNanos - mOrderedNanos > 0;
+            boolean isUp = info.status().takesOrders();
+            mWasSeenDown |= isLater && !isUp;
+            return isLater && isUp && (mWasSeenDown || !info.minion().equals(mMinion));
+        }
+    }
+}
--- a/daemon/src/main/java/org/endivetray/daemon/job/front/InnerJobs.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/front/InnerJobs.java
@@ -2,45 +2,60 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import java.util.List;
 import org.endivetray.daemon.job.DutyCalls;
 import org.endivetray.daemon.job.shard.Shard;
-import org.endivetray.wire.InnerHandler;
-import org.endivetray.wire.gen.Body;
+import org.endivetray.policy.job.PoolLoad;
 import org.endivetray.wire.gen.DrainReply;
 import org.endivetray.wire.gen.DrainRequest;
+import org.endivetray.wire.gen.LoadReply;
 
 /**
- * Answers other daemons' messages about jobs and minions.
+ * Tells the load of the shards that this daemon owns and empties their minions.
  *
  * <p>This class is thread-safe.
  */
-public final class InnerJobs implements InnerHandler {
-    private final JobRouter mRouter;
+public final class InnerJobs {
     private final LocalShards mLocal;
     private final DutyCalls mCalls;
 
     /**
-     * Constructs a handler.
+     * Constructs an answerer.
      *
-     * @param router answers requests about jobs, not null
      * @param local the shards that this daemon owns, not null
      * @param calls runs work on the scheduler's thread, not null
      */
-    public InnerJobs(JobRouter router, LocalShards local, DutyCalls calls) {
-        mRouter = router;
+    public InnerJobs(LocalShards local, DutyCalls calls) {
         mLocal = local;
         mCalls = calls;
     }
 
-    @Override
-    public Future<Body> handle(String sender, long incarnation, Body body) {
-        if (body.isSetJobRequest()) {
-            return mRouter.onRequest(body.getJobRequest());
-        }
-        if (body.isSetDrainRequest()) {
-            return drain(body.getDrainRequest()).map(Body::drainReply);
-        }
-        return Future.failedFuture("unknown message");
+    /**
+     * Tells the load of a pool whose shard this daemon owns.
+     *
+     * @param pool the pool, not null
+     */
+    public Future<LoadReply> load(String pool) {
+        Promise<LoadReply> reply = Promise.promise();
+        mCalls.run(
+                () -> {
+                    Shard shard = mLocal.get(pool);
+                    reply.complete(
+                            shard == null || !shard.isLoaded()
+                                    ? new LoadReply(false, 0, 0, 0, List.of(), List.of())
+                                    : toReply(shard.load()));
+                });
+        return reply.future();
+    }
+
+    private static LoadReply toReply(PoolLoad load) {
+        return new LoadReply(
+                true,
+                load.waitingCpuMillis(),
+                load.usedCpuMillis(),
+                load.totalCpuMillis(),
+                load.emptyMinions(),
+                load.pinnedMinions());
     }
 
     /**
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/front/InnerMessages.java
@@ -0,0 +1,40 @@
+package org.endivetray.daemon.job.front;
+
+import io.vertx.core.Future;
+import org.endivetray.wire.InnerHandler;
+import org.endivetray.wire.gen.Body;
+
+/**
+ * Hands other daemons' messages to those that answer them.
+ *
+ * <p>This class is immutable and thread-safe.
+ */
+public final class InnerMessages implements InnerHandler {
+    private final JobRouter mRouter;
+    private final InnerJobs mJobs;
+
+    /**
+     * Constructs a handler.
+     *
+     * @param router answers requests about jobs, not null
+     * @param jobs answers requests about shards, not null
+     */
+    public InnerMessages(JobRouter router, InnerJobs jobs) {
+        mRouter = router;
+        mJobs = jobs;
+    }
+
+    @Override
+    public Future<Body> handle(String sender, long incarnation, Body body) {
+        if (body.isSetJobRequest()) {
+            return mRouter.onRequest(body.getJobRequest());
+        }
+        if (body.isSetDrainRequest()) {
+            return mJobs.drain(body.getDrainRequest()).map(Body::drainReply);
+        }
+        if (body.isSetLoadRequest()) {
+            return mJobs.load(body.getLoadRequest().getPoolName()).map(Body::loadReply);
+        }
+        return Future.failedFuture("unknown message");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/front/PoolOwners.java
@@ -0,0 +1,74 @@
+package org.endivetray.daemon.job.front;
+
+import io.vertx.core.Future;
+import java.util.function.Supplier;
+import org.endivetray.daemon.job.own.LiveView;
+import org.endivetray.wire.gen.Body;
+import org.endivetray.wire.gen.DrainReply;
+import org.endivetray.wire.gen.DrainRequest;
+import org.endivetray.wire.gen.LoadReply;
+import org.endivetray.wire.gen.LoadRequest;
+
+/**
+ * Asks the owners of shards, here or on other daemons, about pools and minions.
+ *
+ * <p>This class is immutable and thread-safe.
+ */
+public final class PoolOwners {
+    private static final long TIMEOUT_MILLIS = 600;
+
+    private final String mName;
+    private final Supplier<LiveView> mView;
+    private final Peers mPeers;
+    private final InnerJobs mLocal;
+
+    /**
+     * Constructs a client.
+     *
+     * @param name this daemon's name, not null
+     * @param view the view of owners, not null
+     * @param peers the other daemons, not null
+     * @param local answers for shards of this daemon, not null
+     */
+    public PoolOwners(String name, Supplier<LiveView> view, Peers peers, InnerJobs local) {
+        mName = name;
+        mView = view;
+        mPeers = peers;
+        mLocal = local;
+    }
+
+    /**
+     * Asks for a minion to be emptied.
+     *
+     * @param pool the pool, not null
+     * @param minion id of the minion, not null
+     * @param isUrgent whether what can be moved is not to be waited for
+     */
+    public Future<DrainReply> drain(String pool, String minion, boolean isUrgent) {
+        DrainRequest request = new DrainRequest(pool, minion, isUrgent);
+        LiveView.DaemonRecord owner = mView.get().ownerOf(pool).orElse(null);
+        if (owner == null) {
+            return Future.succeededFuture(new DrainReply(false, false));
+        }
+        return owner.name().equals(mName)
+                ? mLocal.drain(request)
+                : mPeers.send(owner, Body.drainRequest(request), TIMEOUT_MILLIS)
+                        .map(Body::getDrainReply);
+    }
+
+    /**
+     * Asks for a pool's load.
+     *
+     * @param pool the pool, not null
+     */
+    public Future<LoadReply> load(String pool) {
+        LiveView.DaemonRecord owner = mView.get().ownerOf(pool).orElse(null);
+        if (owner == null) {
+            return Future.failedFuture("no owner of pool " + pool);
+        }
+        return owner.name().equals(mName)
+                ? mLocal.load(pool)
+                : mPeers.send(owner, Body.loadRequest(new LoadRequest(pool)), TIMEOUT_MILLIS)
+                        .map(Body::getLoadReply);
+    }
+}
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -8,6 +8,7 @@
 import org.endivetray.job.StepSpec;
 import org.endivetray.policy.job.DurationModel;
 import org.endivetray.policy.job.JobRank;
+import org.endivetray.policy.job.PoolLoad;
 
 /**
  * Chooses which waiting tasks start next and on which minions.
@@ -260,6 +261,39 @@
                         });
     }
 
+    /** Returns how much the pool has to do. */
+    PoolLoad load(long nowNanos) {
+        long nowMillis = System.currentTimeMillis();
+        long waiting = 0;
+        for (JobEntry job : mState.mActive.values()) {
+            for (List<StepEntry> steps : job.mOccurrences) {
+                for (StepEntry step : steps) {
+                    if (step.mWaiting > 0 && job.isReady(step, nowMillis)) {
+                        waiting += (long) step.mWaiting * step.mSpec.reservedCpuMillis();
+                    }
+                }
+            }
+        }
+        long used = 0;
+        long total = 0;
+        List<String> empty = new ArrayList<>();
+        List<String> pinned = new ArrayList<>();
+        for (MinionSession minion : mState.mMinions.values()) {
+            used += minion.usedCpuMillis();
+            total += minion.isOpen(nowNanos) ? minion.info().cpuMillis() : 0;
+            if (minion.tasks().isEmpty()) {
+                empty.add(minion.id());
+            }
+            boolean isPinned =
+                    minion.tasks().values().stream()
+                            .anyMatch(task -> task.mStep.mSpec.longRunning());
+            if (isPinned) {
+                pinned.add(minion.id());
+            }
+        }
+        return new PoolLoad(waiting, used, total, empty, pinned);
+    }
+
     /** A step with waiting tasks. */
     private record Candidate(StepEntry step, JobRank rank) {}
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -16,6 +16,7 @@
 import org.endivetray.platform.SharedStore.Condition;
 import org.endivetray.platform.site.JobAnswer;
 import org.endivetray.policy.job.DurationModel;
+import org.endivetray.policy.job.PoolLoad;
 
 /**
  * The jobs of one pool, as scheduled by their owner.
@@ -316,6 +317,11 @@
         return Future.succeededFuture(JobAnswer.ofPending(mDesk.pending(queue)));
     }
 
+    /** Returns how much the pool has to do. */
+    public PoolLoad load() {
+        return mDispatcher.load(System.nanoTime());
+    }
+
     /**
      * Asks for a minion to be emptied; the request holds for a short time only.
      *
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskFlow.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskFlow.java
@@ -109,7 +109,7 @@
                     task.mName,
                     Integer.toString(run),
                     minion.id(),
-                    TimeUnit.NANOSECONDS.toMillis(now - task.mOrderedNanos));
+                    Long.toString(TimeUnit.NANOSECONDS.toMillis(now - task.mOrderedNanos)));
         }
         if (outcome == OrderOutcome.FENCED) {
             mOnFenced.run();
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Trust.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Trust.java
@@ -64,6 +64,6 @@
                 "place: minion left out minion={0} failures={1} pause={2}ms",
                 minion.id(),
                 Integer.toString(minion.mFailureStreak),
-                TimeUnit.NANOSECONDS.toMillis(pauseNanos));
+                Long.toString(TimeUnit.NANOSECONDS.toMillis(pauseNanos)));
     }
 }
