Move idle workers to the pools that ask for more than they have

Change: the holder of worker orders asks each shard's owner for its load five times a second and moves idle workers; the owner confirms that nothing runs and starts nothing there.

--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetKeeper.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetKeeper.java
@@ -3,8 +3,10 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.endivetray.daemon.job.own.SiteWatch;
@@ -13,7 +15,7 @@
 import org.endivetray.platform.SharedStore.Condition;
 
 /**
- * Carries out maintenance waves, as the one holder of orders to workers.
+ * Carries out maintenance waves and moves workers, as the one holder of orders to workers.
  *
  * <p>A new holder waits until orders of the one before can no longer overlap with its own.
  *
@@ -30,13 +32,14 @@
     /** Added to the time between two holders for the way of an order. */
     private static final long HOLDER_MARGIN_MILLIS = 700;
 
-    /** Time between looks at the workers while a wave is open. */
-    private static final long LIST_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    /** Time between looks at the workers. */
+    private static final long LIST_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
     private final FleetContext mContext;
     private final SiteWatch mSite;
     private final Map<Long, WaveRun> mWaves = new TreeMap<>();
     private Condition mOwner;
+    private PoolBalancer mBalancer;
     private long mNotBeforeNanos;
     private long mListedNanos;
     private boolean mIsListing;
@@ -56,6 +59,7 @@
     public void onOwned(Condition owner) {
         LOGGER.log(Level.INFO, "fleet: held token={0}", Long.toString(owner.version()));
         mOwner = owner;
+        mBalancer = new PoolBalancer(mContext, mSite, owner);
         mWaves.clear();
         mNotBeforeNanos =
                 System.nanoTime()
@@ -69,6 +73,10 @@
             LOGGER.log(Level.INFO, "fleet: given up token={0}", Long.toString(mOwner.version()));
         }
         mOwner = null;
+        if (mBalancer != null) {
+            mBalancer.end();
+            mBalancer = null;
+        }
         mWaves.values().forEach(WaveRun::end);
         mWaves.clear();
     }
@@ -84,15 +92,17 @@
             return;
         }
         for (WaveRequest wave : mSite.waves().values()) {
-            mWaves.computeIfAbsent(wave.number(), number -> new WaveRun(mContext, mOwner, wave));
+            mWaves.computeIfAbsent(
+                    wave.number(), number -> new WaveRun(mContext, mOwner, wave, mBalancer));
         }
-        boolean isOpen = false;
+        Set<String> reserved = new HashSet<>();
         for (WaveRun wave : mWaves.values()) {
             wave.tick(nowNanos);
-            isOpen |= wave.isOpen();
+            reserved.addAll(wave.underWay());
         }
         boolean mayOrder = nowNanos - mNotBeforeNanos >= 0;
-        if (isOpen && mayOrder && !mIsListing && nowNanos - mListedNanos >= LIST_NANOS) {
+        mBalancer.tick(nowNanos, mayOrder, reserved);
+        if (mayOrder && !mIsListing && nowNanos - mListedNanos >= LIST_NANOS) {
             list(nowNanos);
         }
     }
@@ -117,6 +127,7 @@
     private void onWorkers(List<WorkerInfo> workers, long sentNanos) {
         Map<String, WorkerInfo> byId = new HashMap<>();
         workers.forEach(worker -> byId.put(worker.id(), worker));
+        mBalancer.onWorkers(workers);
         mWaves.values().forEach(wave -> wave.onWorkers(byId, sentNanos));
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/PoolBalancer.java
@@ -0,0 +1,252 @@
+package org.endivetray.daemon.job.fleet;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.endivetray.daemon.job.own.SiteWatch;
+import org.endivetray.job.PoolConfig;
+import org.endivetray.job.SiteConfig;
+import org.endivetray.job.WorkerInfo;
+import org.endivetray.platform.MachineService.WorkerOrderOutcome;
+import org.endivetray.platform.SharedStore.Condition;
+import org.endivetray.policy.job.PoolBalance;
+import org.endivetray.wire.gen.LoadReply;
+
+/**
+ * Moves idle workers to the pools that need them.
+ *
+ * <p>Invariants: a worker is moved only after the owner of its pool's shard has said that nothing
+ * runs there and nothing will be started; at most one order for a worker is under way.
+ *
+ * <p>This class is not thread-safe; it belongs to the scheduler's thread.
+ */
+final class PoolBalancer {
+    private static final Logger LOGGER = System.getLogger(PoolBalancer.class.getName());
+
+    /** Time between looks at the pools' load. A small part of a move. */
+    private static final long LOAD_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+    /** Time for which a pool's load is believed. */
+    private static final long LOAD_VALID_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
+
+    /** Least time between two moves of a worker. A worker that moves does no work meanwhile. */
+    private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(4_000);
+
+    /** Weight of a new load in the smoothed demand of a pool that asks for less than before. */
+    private static final double FALL_WEIGHT = 0.25;
+
+    private final FleetContext mContext;
+    private final SiteWatch mSite;
+    private final Condition mOwner;
+    private final Map<String, Load> mLoads = new HashMap<>();
+    private final Map<String, Long> mMovedNanos = new HashMap<>();
+    private final Set<String> mOrdering = new HashSet<>();
+    private List<WorkerInfo> mWorkers = List.of();
+    private long mNextLoadNanos;
+    private boolean mIsEnded;
+
+    PoolBalancer(FleetContext context, SiteWatch site, Condition owner) {
+        mContext = context;
+        mSite = site;
+        mOwner = owner;
+    }
+
+    void end() {
+        mIsEnded = true;
+    }
+
+    void onWorkers(List<WorkerInfo> workers) {
+        mWorkers = workers;
+    }
+
+    /** Returns the load of a pool relative to its capacity, 0 if it is not known. */
+    double pressure(String pool) {
+        Load load = mLoads.get(pool);
+        if (load == null) {
+            return 0;
+        }
+        return load.mDemand / Math.max(1, load.mReply.getTotalCpuMillis());
+    }
+
+    /** Returns whether nothing runs on a minion as far as is known. */
+    boolean isIdle(String pool, String minion) {
+        Load load = mLoads.get(pool);
+        return load != null && load.mReply.getEmptyMinions().contains(minion);
+    }
+
+    /**
+     * Does what is due.
+     *
+     * @param nowNanos the steady clock
+     * @param mayOrder whether orders may be given yet
+     * @param reserved workers that are not to be moved, not null
+     */
+    void tick(long nowNanos, boolean mayOrder, Set<String> reserved) {
+        SiteConfig config = mSite.config();
+        if (config == null || nowNanos - mNextLoadNanos < 0) {
+            return;
+        }
+        mNextLoadNanos = nowNanos + LOAD_NANOS;
+        for (PoolConfig pool : config.pools()) {
+            if (mContext.hasJobs().test(pool.name())) {
+                askLoad(pool.name());
+            }
+        }
+        if (mayOrder) {
+            PoolBalance.moves(states(config, nowNanos, reserved)).forEach(this::begin);
+        }
+    }
+
+    private void askLoad(String pool) {
+        mContext.calls()
+                .then(
+                        mContext.owners().load(pool),
+                        (reply, cause) -> {
+                            if (cause == null && reply.isIsOwner()) {
+                                mLoads.computeIfAbsent(pool, ignored -> new Load()).update(reply);
+                            }
+                        });
+    }
+
+    private List<PoolBalance.PoolState> states(
+            SiteConfig config, long nowNanos, Set<String> reserved) {
+        Map<String, List<WorkerInfo>> byPool = new HashMap<>();
+        for (WorkerInfo worker : mWorkers) {
+            byPool.computeIfAbsent(worker.pool(), ignored -> new ArrayList<>()).add(worker);
+        }
+        List<PoolBalance.PoolState> states = new ArrayList<>();
+        for (PoolConfig pool : config.pools()) {
+            Load load = mLoads.get(pool.name());
+            boolean isKnown = load != null && nowNanos - load.mNanos < LOAD_VALID_NANOS;
+            if (pool.standby() || isKnown) {
+                List<WorkerInfo> workers = byPool.getOrDefault(pool.name(), List.of());
+                states.add(state(pool, workers, load, nowNanos, reserved));
+            }
+        }
+        return states;
+    }
+
+    private PoolBalance.PoolState state(
+            PoolConfig pool,
+            List<WorkerInfo> workers,
+            Load load,
+            long nowNanos,
+            Set<String> reserved) {
+        List<String> idle = new ArrayList<>();
+        int count = 0;
+        int cpu = 1;
+        for (WorkerInfo worker : workers) {
+            boolean isPresent = worker.status() != WorkerInfo.WorkerStatus.DOWN;
+            count += isPresent ? 1 : 0;
+            cpu = Math.max(cpu, worker.cpuMillis());
+            boolean isIdle =
+                    pool.standby() || load.mReply.getEmptyMinions().contains(worker.minion());
+            boolean isRested =
+                    nowNanos - mMovedNanos.getOrDefault(worker.id(), nowNanos - REST_NANOS)
+                            >= REST_NANOS;
+            if (worker.status().takesOrders()
+                    && isIdle
+                    && isRested
+                    && !mOrdering.contains(worker.id())
+                    && !reserved.contains(worker.id())) {
+                idle.add(worker.id());
+            }
+        }
+        return new PoolBalance.PoolState(
+                pool.name(),
+                pool.standby(),
+                count,
+                load == null ? 0 : load.mReply.getPinnedMinionsSize(),
+                idle,
+                load == null ? 0 : Math.round(load.mDemand),
+                cpu);
+    }
+
+    private void begin(PoolBalance.Move move) {
+        WorkerInfo worker =
+                mWorkers.stream()
+                        .filter(info -> info.id().equals(move.worker()))
+                        .findFirst()
+                        .orElse(null);
+        if (worker == null || !mOrdering.add(move.worker())) {
+            return;
+        }
+        if (!mContext.hasJobs().test(move.from())) {
+            order(move);
+            return;
+        }
+        mContext.calls()
+                .then(
+                        mContext.owners().drain(move.from(), worker.minion(), false),
+                        (reply, cause) -> {
+                            if (cause == null && reply.isIsEmpty() && !mIsEnded) {
+                                order(move);
+                            } else {
+                                mOrdering.remove(move.worker());
+                            }
+                        });
+    }
+
+    private void order(PoolBalance.Move move) {
+        long ordered = System.nanoTime();
+        mContext.calls()
+                .then(
+                        mContext.machines()
+                                .move(move.worker(), move.to(), mContext.name(), mOwner.version()),
+                        (outcome, cause) -> onOutcome(move, outcome, ordered));
+    }
+
+    private void onOutcome(PoolBalance.Move move, WorkerOrderOutcome outcome, long ordered) {
+        LOGGER.log(
+                Level.INFO,
+                "fleet: move worker={0} from={1} to={2} outcome={3}",
+                move.worker(),
+                move.from(),
+                move.to(),
+                outcome);
+        mMovedNanos.put(move.worker(), ordered);
+        if (outcome == WorkerOrderOutcome.DONE) {
+            moveInList(move);
+        }
+        mOrdering.remove(move.worker());
+    }
+
+    /** Counts a worker in its new pool until the next list tells where it is. */
+    private void moveInList(PoolBalance.Move move) {
+        List<WorkerInfo> workers = new ArrayList<>();
+        for (WorkerInfo worker : mWorkers) {
+            workers.add(
+                    worker.id().equals(move.worker())
+                            ? new WorkerInfo(
+                                    worker.id(),
+                                    move.to(),
+                                    WorkerInfo.WorkerStatus.MOVING,
+                                    "",
+                                    worker.labels(),
+                                    worker.cpuMillis())
+                            : worker);
+        }
+        mWorkers = workers;
+    }
+
+    /** The latest load of a pool; demand rises at once and falls slowly. */
+    private static final class Load {
+        private LoadReply mReply;
+        private double mDemand;
+        private long mNanos;
+
+        private void update(LoadReply reply) {
+            double demand = reply.getWaitingCpuMillis() + reply.getUsedCpuMillis();
+            boolean rises = mReply == null || demand > mDemand;
+            mDemand = rises ? demand : mDemand + (demand - mDemand) * FALL_WEIGHT;
+            mReply = reply;
+            mNanos = System.nanoTime();
+        }
+    }
+}
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/WaveRun.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/WaveRun.java
@@ -46,11 +46,15 @@
     /** Time that a worker usually takes from the request to empty it until it is back. */
     private static final long CYCLE_MILLIS = 5_500;
 
+    /** Cost of emptying a worker on which something runs, in workers of its pool. */
+    private static final double BUSY_COST = 2;
+
     private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
     private final FleetContext mContext;
     private final Condition mOwner;
     private final WaveRequest mWave;
+    private final PoolBalancer mBalancer;
     private final Set<String> mDone = new TreeSet<>();
     private final Map<String, Outage> mOutages = new LinkedHashMap<>();
     private Map<String, WorkerInfo> mWorkers = Map.of();
@@ -64,7 +68,8 @@
     private boolean mIsCompleted;
     private boolean mIsEnded;
 
-    WaveRun(FleetContext context, Condition owner, WaveRequest wave) {
+    WaveRun(FleetContext context, Condition owner, WaveRequest wave, PoolBalancer balancer) {
+        mBalancer = balancer;
         mContext = context;
         mOwner = owner;
         mWave = wave;
@@ -74,6 +79,11 @@
         return mIsLoaded && !mIsCompleted;
     }
 
+    /** Returns the workers that are being emptied or are down for the wave. */
+    Set<String> underWay() {
+        return mOutages.keySet();
+    }
+
     void end() {
         mIsEnded = true;
     }
@@ -217,19 +227,29 @@
         choices.removeAll(mOutages.keySet());
         choices.removeIf(id -> !workers.get(id).status().takesOrders());
         while (mOutages.size() < wanted && !choices.isEmpty()) {
-            String next = leastHit(choices, perPool);
+            String next = cheapest(choices, perPool);
             choices.remove(next);
             perPool.merge(poolOf(next), 1, Integer::sum);
             mOutages.put(next, new Outage(next));
         }
     }
 
-    /** Returns the worker whose pool has the fewest workers out at the moment. */
-    private String leastHit(List<String> choices, Map<String, Integer> perPool) {
-        String best = choices.get(0);
+    /** Returns the worker whose outage costs least: an idle one, in a pool with little to do. */
+    private String cheapest(List<String> choices, Map<String, Integer> perPool) {
+        String best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
         for (String id : choices) {
-            if (perPool.getOrDefault(poolOf(id), 0) < perPool.getOrDefault(poolOf(best), 0)) {
+            WorkerInfo info = mWorkers.get(id);
+            boolean isIdle =
+                    !mContext.hasJobs().test(info.pool())
+                            || mBalancer.isIdle(info.pool(), info.minion());
+            double cost =
+                    (isIdle ? 0 : BUSY_COST)
+                            + mBalancer.pressure(info.pool())
+                            + perPool.getOrDefault(info.pool(), 0);
+            if (cost < bestCost) {
                 best = id;
+                bestCost = cost;
             }
         }
         return best;
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Drains.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Drains.java
@@ -11,7 +11,7 @@
  */
 final class Drains {
     /** Time for which a request holds. Several times the interval at which it is repeated. */
-    private static final long REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+    private static final long REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
     private final ShardState mState;
     private final TaskFlow mFlow;
