--- a/daemon/src/main/java/org/endivetray/daemon/job/DutyCalls.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/DutyCalls.java
@@ -6,11 +6,11 @@
 import org.endivetray.daemon.duty.Duty;
 
 /**
- * Runs the results of asynchronous calls on a duty's thread.
+ * Runs the results of asynchronous calls on a duty's thread, on the system's clocks.
  *
  * <p>This class is immutable and thread-safe.
  */
-public final class DutyCalls {
+public final class DutyCalls implements ScheduledCalls {
     private final Vertx mVertx;
     private final Duty mDuty;
 
@@ -25,23 +25,22 @@
         mDuty = duty;
     }
 
-    /**
-     * Runs work on the duty's thread after a time.
-     *
-     * @param delayMillis the time, in milliseconds, 1 or more
-     * @param work the work, not null
-     */
+    @Override
+    public long nanoTime() {
+        return System.nanoTime();
+    }
+
+    @Override
+    public long currentTimeMillis() {
+        return System.currentTimeMillis();
+    }
+
+    @Override
     public void later(long delayMillis, Runnable work) {
         mVertx.setTimer(delayMillis, ignored -> mDuty.submit(work));
     }
 
-    /**
-     * Runs an action on the duty's thread once a call has ended.
-     *
-     * @param call the call, not null
-     * @param action takes the result, or null and the cause of the failure, not null
-     * @param <T> type of the result
-     */
+    @Override
     public <T> void then(Future<T> call, BiConsumer<T, Throwable> action) {
         call.onComplete(
                 result ->
@@ -55,11 +54,7 @@
                                 }));
     }
 
-    /**
-     * Runs work on the duty's thread.
-     *
-     * @param work the work, not null
-     */
+    @Override
     public void run(Runnable work) {
         mDuty.submit(work);
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetContext.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetContext.java
@@ -1,7 +1,7 @@
 package org.endivetray.daemon.job.fleet;
 
 import java.util.function.Predicate;
-import org.endivetray.daemon.job.DutyCalls;
+import org.endivetray.daemon.job.ScheduledCalls;
 import org.endivetray.daemon.job.front.PoolOwners;
 import org.endivetray.platform.MachineService;
 import org.endivetray.platform.SharedStore;
@@ -24,6 +24,6 @@
         SharedStore store,
         MachineService machines,
         PoolOwners owners,
-        DutyCalls calls,
+        ScheduledCalls calls,
         Predicate<String> hasJobs,
         long holderMillis) {}
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetKeeper.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetKeeper.java
@@ -62,7 +62,7 @@
         mBalancer = new PoolBalancer(mContext, mSite, owner);
         mWaves.clear();
         mNotBeforeNanos =
-                System.nanoTime()
+                mContext.calls().nanoTime()
                         + TimeUnit.MILLISECONDS.toNanos(
                                 mContext.holderMillis() + HOLDER_MARGIN_MILLIS);
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/PoolBalancer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/PoolBalancer.java
@@ -109,7 +109,8 @@
                         mContext.owners().load(pool),
                         (reply, cause) -> {
                             if (cause == null && reply.isIsOwner()) {
-                                mLoads.computeIfAbsent(pool, ignored -> new Load()).update(reply);
+                                mLoads.computeIfAbsent(pool, ignored -> new Load())
+                                        .update(reply, mContext.calls().nanoTime());
                             }
                         });
     }
@@ -142,7 +143,9 @@
         int count = 0;
         int cpu = 1;
         for (WorkerInfo worker : workers) {
-            boolean isPresent = worker.status() != WorkerInfo.WorkerStatus.DOWN;
+            boolean isPresent =
+                    worker.status() != WorkerInfo.WorkerStatus.DOWN
+                            && !reserved.contains(worker.id());
             count += isPresent ? 1 : 0;
             cpu = Math.max(cpu, worker.cpuMillis());
             boolean isIdle =
@@ -162,7 +165,7 @@
                 pool.name(),
                 pool.standby(),
                 count,
-                load == null ? 0 : load.mReply.getPinnedMinionsSize(),
+                load == null ? 0 : load.pinnedWorkers(),
                 idle,
                 load == null ? 0 : Math.round(load.mDemand),
                 cpu);
@@ -194,7 +197,7 @@
     }
 
     private void order(PoolBalance.Move move) {
-        long ordered = System.nanoTime();
+        long ordered = mContext.calls().nanoTime();
         mContext.calls()
                 .then(
                         mContext.machines()
@@ -241,12 +244,16 @@
         private double mDemand;
         private long mNanos;
 
-        private void update(LoadReply reply) {
+        private int pinnedWorkers() {
+            return mReply.getPinnedMinionsSize() + mReply.getWantedMinions();
+        }
+
+        private void update(LoadReply reply, long nowNanos) {
             double demand = reply.getWaitingCpuMillis() + reply.getUsedCpuMillis();
             boolean rises = mReply == null || demand > mDemand;
             mDemand = rises ? demand : mDemand + (demand - mDemand) * FALL_WEIGHT;
             mReply = reply;
-            mNanos = System.nanoTime();
+            mNanos = nowNanos;
         }
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/WaveRun.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/WaveRun.java
@@ -112,7 +112,7 @@
                         (item, cause) -> {
                             mIsCalling = false;
                             if (cause != null) {
-                                mNextNanos = System.nanoTime() + RETRY_NANOS;
+                                mNextNanos = mContext.calls().nanoTime() + RETRY_NANOS;
                             } else {
                                 onLoaded(item);
                             }
@@ -122,7 +122,7 @@
     private void onLoaded(Versioned item) {
         mIsLoaded = true;
         mVersion = item.version();
-        mStartMillis = System.currentTimeMillis();
+        mStartMillis = mContext.calls().currentTimeMillis();
         if (item.isPresent()) {
             StoredWave stored = Codec.decode(item.key(), item.value(), StoredWave.class);
             mDone.addAll(stored.done());
@@ -171,7 +171,7 @@
                                 onStored(isComplete);
                             } else {
                                 mIsDirty = true;
-                                mNextNanos = System.nanoTime() + RETRY_NANOS;
+                                mNextNanos = mContext.calls().nanoTime() + RETRY_NANOS;
                                 if (result.outcome() == CommitOutcome.CONFLICT) {
                                     mVersion = result.currentOf(key).version();
                                 }
@@ -186,7 +186,7 @@
                     Level.INFO,
                     "wave: completed wave={0} millis={1}",
                     Long.toString(mWave.number()),
-                    Long.toString(System.currentTimeMillis() - mStartMillis));
+                    Long.toString(mContext.calls().currentTimeMillis() - mStartMillis));
         }
     }
 
@@ -218,7 +218,7 @@
                 WaveSchedule.atOnce(
                         left.size(),
                         mWave.maxAtOnce(),
-                        System.currentTimeMillis() - mStartMillis,
+                        mContext.calls().currentTimeMillis() - mStartMillis,
                         mWave.durationMillis(),
                         CYCLE_MILLIS);
         Map<String, Integer> perPool = new HashMap<>();
@@ -267,7 +267,7 @@
     /** One worker on its way into upkeep and back. */
     private final class Outage {
         private final String mWorker;
-        private final long mSinceNanos = System.nanoTime();
+        private final long mSinceNanos = mContext.calls().nanoTime();
         private String mMinion = "";
         private long mNextDrainNanos;
         private long mOrderedNanos;
@@ -311,7 +311,7 @@
             if (mOrderedNanos == 0 && downCount() >= mWave.maxAtOnce()) {
                 return;
             }
-            mOrderedNanos = System.nanoTime();
+            mOrderedNanos = mContext.calls().nanoTime();
             mIsAsking = true;
             mContext.calls()
                     .then(
@@ -333,7 +333,9 @@
                     mWorker,
                     mMinion,
                     outcome,
-                    Long.toString(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mSinceNanos)));
+                    Long.toString(
+                            TimeUnit.NANOSECONDS.toMillis(
+                                    mContext.calls().nanoTime() - mSinceNanos)));
             switch (outcome) {
                 case DONE -> {
                     mHasBegun = true;
--- a/daemon/src/main/java/org/endivetray/daemon/job/front/InnerJobs.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/front/InnerJobs.java
@@ -3,7 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.List;
-import org.endivetray.daemon.job.DutyCalls;
+import org.endivetray.daemon.job.ScheduledCalls;
 import org.endivetray.daemon.job.shard.Shard;
 import org.endivetray.policy.job.PoolLoad;
 import org.endivetray.wire.gen.DrainReply;
@@ -17,7 +17,7 @@
  */
 public final class InnerJobs {
     private final LocalShards mLocal;
-    private final DutyCalls mCalls;
+    private final ScheduledCalls mCalls;
 
     /**
      * Constructs an answerer.
@@ -25,7 +25,7 @@
      * @param local the shards that this daemon owns, not null
      * @param calls runs work on the scheduler's thread, not null
      */
-    public InnerJobs(LocalShards local, DutyCalls calls) {
+    public InnerJobs(LocalShards local, ScheduledCalls calls) {
         mLocal = local;
         mCalls = calls;
     }
@@ -42,7 +42,7 @@
                     Shard shard = mLocal.get(pool);
                     reply.complete(
                             shard == null || !shard.isLoaded()
-                                    ? new LoadReply(false, 0, 0, 0, List.of(), List.of())
+                                    ? new LoadReply(false, 0, 0, 0, List.of(), List.of(), 0)
                                     : toReply(shard.load()));
                 });
         return reply.future();
@@ -55,7 +55,8 @@
                 load.usedCpuMillis(),
                 load.totalCpuMillis(),
                 load.emptyMinions(),
-                load.pinnedMinions());
+                load.pinnedMinions(),
+                load.wantedMinions());
     }
 
     /**
--- a/daemon/src/main/java/org/endivetray/daemon/job/own/LiveWatch.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/own/LiveWatch.java
@@ -5,7 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.endivetray.EndivetrayException;
-import org.endivetray.daemon.job.DutyCalls;
+import org.endivetray.daemon.job.ScheduledCalls;
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.platform.Codec;
 import org.endivetray.platform.SharedStore;
@@ -28,7 +28,7 @@
     private static final long RETRY_MILLIS = 250;
 
     private final SharedStore mStore;
-    private final DutyCalls mCalls;
+    private final ScheduledCalls mCalls;
     private final Runnable mOnChange;
     private final Map<String, Versioned> mItems = new HashMap<>();
     private volatile LiveView mView = LiveView.EMPTY;
@@ -41,7 +41,7 @@
      * @param calls runs results on the scheduler's thread, not null
      * @param onChange called after each change, not null
      */
-    public LiveWatch(SharedStore store, DutyCalls calls, Runnable onChange) {
+    public LiveWatch(SharedStore store, ScheduledCalls calls, Runnable onChange) {
         mStore = store;
         mCalls = calls;
         mOnChange = onChange;
--- a/daemon/src/main/java/org/endivetray/daemon/job/own/MinionDirectory.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/own/MinionDirectory.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
-import org.endivetray.daemon.job.DutyCalls;
+import org.endivetray.daemon.job.ScheduledCalls;
 import org.endivetray.job.MinionInfo;
 import org.endivetray.platform.SharedStore;
 import org.endivetray.platform.Versioned;
@@ -27,7 +27,7 @@
     private static final long PAUSE_MILLIS = 300;
 
     private final SharedStore mStore;
-    private final DutyCalls mCalls;
+    private final ScheduledCalls mCalls;
     private final BooleanSupplier mIsNeeded;
     private final Runnable mOnChange;
     private final Map<String, MinionInfo> mMinions = new HashMap<>();
@@ -43,7 +43,7 @@
      * @param onChange called after each change, not null
      */
     public MinionDirectory(
-            SharedStore store, DutyCalls calls, BooleanSupplier isNeeded, Runnable onChange) {
+            SharedStore store, ScheduledCalls calls, BooleanSupplier isNeeded, Runnable onChange) {
         mStore = store;
         mCalls = calls;
         mIsNeeded = isNeeded;
--- a/daemon/src/main/java/org/endivetray/daemon/job/own/Ownership.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/own/Ownership.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
-import org.endivetray.daemon.job.DutyCalls;
+import org.endivetray.daemon.job.ScheduledCalls;
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.platform.Codec;
 import org.endivetray.platform.SharedStore;
@@ -49,7 +49,7 @@
     private static final long REMOVE_RETRY_MILLIS = 300;
 
     private final SharedStore mStore;
-    private final DutyCalls mCalls;
+    private final ScheduledCalls mCalls;
     private final LiveWatch mWatch;
     private final Listener mListener;
     private final long mSettleNanos;
@@ -91,7 +91,7 @@
      */
     public Ownership(
             SharedStore store,
-            DutyCalls calls,
+            ScheduledCalls calls,
             LiveWatch watch,
             LiveView.DaemonRecord self,
             long settleMillis,
@@ -125,7 +125,7 @@
                 new LiveView.DaemonRecord(
                         mSelf.name(), mSelf.host(), mSelf.port(), mSelf.incarnation(), true);
         mIsRegistered = false;
-        mNextCallNanos = System.nanoTime();
+        mNextCallNanos = mCalls.nanoTime();
     }
 
     /** Does what is due. */
@@ -155,7 +155,7 @@
                     mIsCalling = false;
                     if (cause == null) {
                         mLease = lease;
-                        mNextCallNanos = System.nanoTime();
+                        mNextCallNanos = mCalls.nanoTime();
                     } else {
                         callAgain("lease", cause.getMessage());
                     }
@@ -172,7 +172,7 @@
                     if (result.isDone()) {
                         LOGGER.log(Level.INFO, "shard: daemon registered name={0}", mSelf.name());
                         mIsRegistered = true;
-                        mRegisteredNanos = System.nanoTime();
+                        mRegisteredNanos = mCalls.nanoTime();
                         mNextCallNanos = mRegisteredNanos + RENEW_NANOS;
                     } else if (result.outcome() == CommitOutcome.NO_SUCH_LEASE) {
                         onLeaseLost();
@@ -191,7 +191,7 @@
                     if (cause != null) {
                         callAgain("renewal", cause.getMessage());
                     } else if (exists) {
-                        mNextCallNanos = System.nanoTime() + RENEW_NANOS;
+                        mNextCallNanos = mCalls.nanoTime() + RENEW_NANOS;
                     } else {
                         onLeaseLost();
                     }
@@ -200,14 +200,14 @@
 
     private void callAgain(String what, String reason) {
         LOGGER.log(Level.INFO, "shard: no {0} reason={1}", what, reason);
-        mNextCallNanos = System.nanoTime() + RENEW_NANOS / 2;
+        mNextCallNanos = mCalls.nanoTime() + RENEW_NANOS / 2;
     }
 
     private void onLeaseLost() {
         LOGGER.log(Level.WARNING, "shard: daemon lease lost lease={0}", Long.toString(mLease));
         mLease = SharedStore.NO_LEASE;
         mIsRegistered = false;
-        mNextCallNanos = System.nanoTime();
+        mNextCallNanos = mCalls.nanoTime();
         for (String shard : List.copyOf(mTokens.keySet())) {
             lose(shard, "lease lost");
         }
--- a/daemon/src/main/java/org/endivetray/daemon/job/own/SiteWatch.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/own/SiteWatch.java
@@ -4,7 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.util.HashMap;
 import java.util.Map;
-import org.endivetray.daemon.job.DutyCalls;
+import org.endivetray.daemon.job.ScheduledCalls;
 import org.endivetray.job.SiteConfig;
 import org.endivetray.job.WaveRequest;
 import org.endivetray.platform.SharedStore;
@@ -29,7 +29,7 @@
     private static final long RETRY_MILLIS = 200;
 
     private final SharedStore mStore;
-    private final DutyCalls mCalls;
+    private final ScheduledCalls mCalls;
     private final Runnable mOnChange;
     private volatile SiteConfig mConfig;
     private volatile Map<Long, WaveRequest> mWaves = Map.of();
@@ -42,7 +42,7 @@
      * @param calls runs results on the scheduler's thread, not null
      * @param onChange called after each change, not null
      */
-    public SiteWatch(SharedStore store, DutyCalls calls, Runnable onChange) {
+    public SiteWatch(SharedStore store, ScheduledCalls calls, Runnable onChange) {
         mStore = store;
         mCalls = calls;
         mOnChange = onChange;
--- a/daemon/src/main/java/org/endivetray/daemon/job/record/StoredProgress.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/record/StoredProgress.java
@@ -1,6 +1,7 @@
 package org.endivetray.daemon.job.record;
 
 import java.util.Map;
+import java.util.Set;
 import org.endivetray.job.JobState;
 
 /**
@@ -23,11 +24,13 @@
      * What is kept of a task.
      *
      * @param done whether a run has ended well
-     * @param failures number of failed runs
+     * @param failedRuns numbers of the runs that have failed, not null
      * @param run highest run number that was used
-     * @param countedRun highest run number whose failure was counted
      * @param checkpoint last saved progress, empty if none
      */
-    public record StoredTask(
-            boolean done, int failures, int run, int countedRun, String checkpoint) {}
+    public record StoredTask(boolean done, Set<Integer> failedRuns, int run, String checkpoint) {
+        public StoredTask {
+            failedRuns = Set.copyOf(failedRuns);
+        }
+    }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/DeputyWatch.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/DeputyWatch.java
@@ -88,7 +88,8 @@
             }
             if (item.key().startsWith(jobs)) {
                 LOGGER.log(Level.INFO, "job: found stored by another daemon key={0}", item.key());
-                ShardLoader.job(item, jobs).ifPresent(mDesk::onDeputyJob);
+                ShardLoader.job(item, jobs, mContext.calls().nanoTime())
+                        .ifPresent(mDesk::onDeputyJob);
             } else if (item.key().startsWith(cancels)) {
                 mDesk.onDeputyCancel(item.key().substring(cancels.length()));
             }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -39,7 +39,7 @@
 
     /** Starts what can be started. */
     void run(long nowNanos) {
-        long nowMillis = System.currentTimeMillis();
+        long nowMillis = mContext.calls().currentTimeMillis();
         List<Candidate> candidates = new ArrayList<>();
         for (JobEntry job : mState.mActive.values()) {
             collect(job, nowNanos, nowMillis, candidates);
@@ -255,7 +255,8 @@
                                 long valid = advice.validMillis() - TICKET_MARGIN_MILLIS;
                                 step.mAdvice.onAnswer(
                                         advice.tickets(),
-                                        System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(valid));
+                                        mContext.calls().nanoTime()
+                                                + TimeUnit.MILLISECONDS.toNanos(valid));
                             }
                             mState.mNeedsDispatch = true;
                         });
@@ -263,13 +264,15 @@
 
     /** Returns how much the pool has to do. */
     PoolLoad load(long nowNanos) {
-        long nowMillis = System.currentTimeMillis();
+        long nowMillis = mContext.calls().currentTimeMillis();
         long waiting = 0;
+        int wanted = 0;
         for (JobEntry job : mState.mActive.values()) {
             for (List<StepEntry> steps : job.mOccurrences) {
                 for (StepEntry step : steps) {
                     if (step.mWaiting > 0 && job.isReady(step, nowMillis)) {
                         waiting += (long) step.mWaiting * step.mSpec.reservedCpuMillis();
+                        wanted += step.mSpec.longRunning() ? minionsFor(step) : 0;
                     }
                 }
             }
@@ -291,7 +294,13 @@
                 pinned.add(minion.id());
             }
         }
-        return new PoolLoad(waiting, used, total, empty, pinned);
+        return new PoolLoad(waiting, used, total, empty, pinned, wanted);
+    }
+
+    /** Returns the number of minions that the waiting tasks of a step need at least. */
+    private static int minionsFor(StepEntry step) {
+        int perMinion = Math.max(1, step.mSpec.maxPerMinion());
+        return (step.mWaiting + perMinion - 1) / perMinion;
     }
 
     /** A step with waiting tasks. */
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Drains.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Drains.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.endivetray.daemon.job.ScheduledCalls;
 
 /**
  * Empties minions before planned outages without making more tasks of a step unavailable than it
@@ -13,10 +14,12 @@
     /** Time for which a request holds. Several times the interval at which it is repeated. */
     private static final long REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
+    private final ScheduledCalls mCalls;
     private final ShardState mState;
     private final TaskFlow mFlow;
 
-    Drains(ShardState state, TaskFlow flow) {
+    Drains(ScheduledCalls calls, ShardState state, TaskFlow flow) {
+        mCalls = calls;
         mState = state;
         mFlow = flow;
     }
@@ -27,7 +30,7 @@
         if (minion == null) {
             return true;
         }
-        minion.mDrainUntilNanos = System.nanoTime() + REQUEST_NANOS;
+        minion.mDrainUntilNanos = mCalls.nanoTime() + REQUEST_NANOS;
         minion.mIsDrainUrgent = isUrgent;
         return minion.tasks().isEmpty();
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/HoldLoop.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/HoldLoop.java
@@ -62,7 +62,7 @@
 
     /** Takes note of the minions that are registered now. */
     void onRegistrations(List<MinionInfo> minions) {
-        long now = System.nanoTime();
+        long now = mContext.calls().nanoTime();
         Set<String> listed = new HashSet<>();
         for (MinionInfo info : minions) {
             listed.add(info.id());
@@ -134,7 +134,7 @@
 
     private void onListing(MinionSession session, Listing listing, long sentNanos) {
         session.mIsHolding = false;
-        long now = System.nanoTime();
+        long now = mContext.calls().nanoTime();
         if (listing.outcome() == OrderOutcome.FENCED) {
             mOnFenced.run();
             return;
@@ -172,7 +172,7 @@
             mJournal.afterStored(
                     () -> {
                         session.mStoredEnd = Math.max(session.mStoredEnd, upTo);
-                        session.mNextHoldNanos = System.nanoTime();
+                        session.mNextHoldNanos = mContext.calls().nanoTime();
                     });
         } else {
             session.mNextHoldNanos = nowNanos;
@@ -268,10 +268,10 @@
         return false;
     }
 
-    private static void confirm(TaskEntry task, RunningTask running) {
+    private void confirm(TaskEntry task, RunningTask running) {
         if (task.mPhase == TaskPhase.STARTING) {
             task.mPhase = TaskPhase.RUNNING;
-            task.mAckedNanos = System.nanoTime();
+            task.mAckedNanos = mContext.calls().nanoTime();
         }
         task.mUncertainNanos = 0;
         task.mPercent = running.percent();
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobDesk.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobDesk.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.endivetray.daemon.job.ScheduledCalls;
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.daemon.job.record.StoredJob;
 import org.endivetray.job.JobSpec;
@@ -38,13 +39,15 @@
     /** Added to the time for which states are told before records are removed. */
     private static final long PURGE_MARGIN_MILLIS = TimeUnit.SECONDS.toMillis(60);
 
+    private final ScheduledCalls mCalls;
     private final ShardState mState;
     private final Journal mJournal;
     private final TaskFlow mFlow;
     private final Map<String, List<Promise<JobAnswer>>> mPending = new HashMap<>();
     private final List<Promise<JobAnswer>> mCancels = new ArrayList<>();
 
-    JobDesk(ShardState state, Journal journal, TaskFlow flow) {
+    JobDesk(ScheduledCalls calls, ShardState state, Journal journal, TaskFlow flow) {
+        mCalls = calls;
         mState = state;
         mJournal = journal;
         mFlow = flow;
@@ -65,13 +68,13 @@
             return;
         }
         mPending.put(id, new ArrayList<>(List.of(answer)));
-        StoredJob stored = new StoredJob(mState.mPool, queue, spec, System.currentTimeMillis());
+        StoredJob stored = new StoredJob(mState.mPool, queue, spec, mCalls.currentTimeMillis());
         mJournal.add(
                 Journal.Change.creation(
                         JobKeys.jobs(mState.mPool) + id,
                         Codec.encode(stored),
                         JobKeys.deputyJobs(mState.mPool) + id,
-                        version -> onAccepted(new JobEntry(id, stored, System.nanoTime())),
+                        version -> onAccepted(new JobEntry(id, stored, mCalls.nanoTime())),
                         outcome -> onNotStored(id, outcome),
                         current -> onExists(id, current)),
                 true);
@@ -106,7 +109,8 @@
 
     private void onExists(String id, Versioned current) {
         if (current.isPresent()) {
-            ShardLoader.job(current, JobKeys.jobs(mState.mPool)).ifPresent(this::onAccepted);
+            ShardLoader.job(current, JobKeys.jobs(mState.mPool), mCalls.nanoTime())
+                    .ifPresent(this::onAccepted);
         }
         answerAll(id, JobAnswer.ok());
     }
@@ -192,7 +196,7 @@
 
     /** Removes the records of jobs that ended long ago. */
     void purge(long retentionMillis) {
-        long before = System.currentTimeMillis() - retentionMillis - PURGE_MARGIN_MILLIS;
+        long before = mCalls.currentTimeMillis() - retentionMillis - PURGE_MARGIN_MILLIS;
         for (JobEntry job : List.copyOf(mState.mJobs.values())) {
             if (job.mStoredState.isFinal() && job.mEndedMillis < before) {
                 mState.mJobs.remove(job.mId);
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobEntry.java
@@ -96,8 +96,7 @@
             return;
         }
         task.mRun = stored.run();
-        task.mFailures = stored.failures();
-        task.mCountedRun = stored.countedRun();
+        task.mFailedRuns.addAll(stored.failedRuns());
         task.mCheckpoint = stored.checkpoint();
         if (stored.done()) {
             task.mPhase = TaskPhase.DONE;
@@ -127,9 +126,8 @@
                                 task.progressKey(),
                                 new StoredProgress.StoredTask(
                                         task.mPhase == TaskPhase.DONE,
-                                        task.mFailures,
+                                        task.mFailedRuns,
                                         task.mRun,
-                                        task.mCountedRun,
                                         task.mCheckpoint));
                     }
                 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Journal.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Journal.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.endivetray.daemon.job.DutyCalls;
+import org.endivetray.daemon.job.ScheduledCalls;
 import org.endivetray.platform.SharedStore;
 import org.endivetray.platform.SharedStore.Commit;
 import org.endivetray.platform.SharedStore.CommitOutcome;
@@ -42,7 +42,7 @@
     private static final long GATHER_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
 
     private final SharedStore mStore;
-    private final DutyCalls mCalls;
+    private final ScheduledCalls mCalls;
     private final Condition mOwner;
     private final Runnable mOnDeposed;
     private final Map<String, Change> mQueued = new LinkedHashMap<>();
@@ -55,7 +55,7 @@
     private long mRetryAtNanos;
     private long mEnqueued;
 
-    Journal(SharedStore store, DutyCalls calls, Condition owner, Runnable onDeposed) {
+    Journal(SharedStore store, ScheduledCalls calls, Condition owner, Runnable onDeposed) {
         mStore = store;
         mCalls = calls;
         mOwner = owner;
@@ -75,7 +75,7 @@
             change.inherit(earlier);
         }
         if (mQueued.isEmpty()) {
-            mFirstNanos = System.nanoTime();
+            mFirstNanos = mCalls.nanoTime();
         }
         mQueued.put(change.key(), change);
         mIsUrgent |= isUrgent;
@@ -157,7 +157,7 @@
                     if (result.outcome() == CommitOutcome.CONFLICT) {
                         mOnDeposed.run();
                     } else if (!result.isDone()) {
-                        mRetryAtNanos = System.nanoTime() + RETRY_NANOS;
+                        mRetryAtNanos = mCalls.nanoTime() + RETRY_NANOS;
                         mRemovals.addAll(batch);
                     }
                 });
@@ -173,7 +173,7 @@
             default -> onFailure(batch, result.outcome());
         }
         runWaiters();
-        flush(System.nanoTime());
+        flush(mCalls.nanoTime());
     }
 
     private void onStored(Change change, long version) {
@@ -217,7 +217,7 @@
                 mOwner.key(),
                 batch.size(),
                 outcome);
-        mRetryAtNanos = System.nanoTime() + RETRY_NANOS;
+        mRetryAtNanos = mCalls.nanoTime() + RETRY_NANOS;
         for (Change change : batch.values()) {
             if (outcome == CommitOutcome.UNKNOWN) {
                 change.mMayExist = true;
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
@@ -186,9 +186,14 @@
         return isReborn;
     }
 
-    /** Returns the listing order that extends the lease. */
+    /**
+     * Returns the listing order, which extends the lease of a minion that answers.
+     *
+     * <p>The lease of a silent minion is left to end: an order without an answer may have been
+     * carried out, so that nothing of the minion could ever be started elsewhere.
+     */
     MinionOrders.HoldOrder holdOrder(long leaseMillis, int waitMillis, long token, long nowNanos) {
-        return new MinionOrders.HoldOrder(
-                extendLease(leaseMillis, nowNanos), mStoredEnd, waitMillis, token);
+        long leaseEnd = mIsAnswering ? extendLease(leaseMillis, nowNanos) : 0;
+        return new MinionOrders.HoldOrder(leaseEnd, mStoredEnd, waitMillis, token);
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -97,9 +97,9 @@
         mFlow = new TaskFlow(context, mState, mJournal, durations, onFenced);
         mHolds = new HoldLoop(context, mState, mJournal, mFlow, onFenced);
         mDispatcher = new Dispatcher(context, mState, mFlow, durations);
-        mDesk = new JobDesk(mState, mJournal, mFlow);
+        mDesk = new JobDesk(context.calls(), mState, mJournal, mFlow);
         mDeputies = new DeputyWatch(context, mState, mDesk, this::isLost);
-        mDrains = new Drains(mState, mFlow);
+        mDrains = new Drains(context.calls(), mState, mFlow);
     }
 
     /** Returns the shard's pool. */
@@ -206,7 +206,7 @@
         if (mPhase != Phase.LOADING) {
             return;
         }
-        long now = System.nanoTime();
+        long now = mContext.calls().nanoTime();
         if (cause != null) {
             LOGGER.log(Level.WARNING, "shard: not read pool={0} reason={1}", pool(), cause);
             mReloadAtNanos = now + RELOAD_NANOS;
@@ -215,7 +215,7 @@
         long longest = mContext.limits().maxLeaseMillis();
         long bound = Math.round(longest * (1 + CLOCK_DRIFT)) + LEASE_MARGIN_MILLIS;
         mState.mInheritedUntilNanos = now + TimeUnit.MILLISECONDS.toNanos(bound);
-        loaded.fill(mState);
+        loaded.fill(mState, now);
         mMinionsVersion = loaded.minions().version();
         mPhase = Phase.ADOPTING;
         mLoadedNanos = now;
@@ -284,7 +284,7 @@
         }
         Promise<JobAnswer> answer = Promise.promise();
         mDesk.submit(queue, id, spec, answer);
-        mJournal.flush(System.nanoTime());
+        mJournal.flush(mContext.calls().nanoTime());
         return answer.future();
     }
 
@@ -304,7 +304,7 @@
         Promise<JobAnswer> answer = Promise.promise();
         mDesk.cancel(id, answer);
         if (mPhase != Phase.LOST) {
-            mJournal.flush(System.nanoTime());
+            mJournal.flush(mContext.calls().nanoTime());
         }
         return answer.future();
     }
@@ -319,7 +319,7 @@
 
     /** Returns how much the pool has to do. */
     public PoolLoad load() {
-        return mDispatcher.load(System.nanoTime());
+        return mDispatcher.load(mContext.calls().nanoTime());
     }
 
     /**
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardLoader.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardLoader.java
@@ -68,14 +68,12 @@
     }
 
     /** Returns the job in a stored record, or nothing if it cannot be read. */
-    static Optional<JobEntry> job(Versioned item, String prefix) {
+    static Optional<JobEntry> job(Versioned item, String prefix, long nowNanos) {
         return decode(item, StoredJob.class)
                 .map(
                         stored ->
                                 new JobEntry(
-                                        item.key().substring(prefix.length()),
-                                        stored,
-                                        System.nanoTime()));
+                                        item.key().substring(prefix.length()), stored, nowNanos));
     }
 
     /**
@@ -92,15 +90,15 @@
             List<Versioned> progress,
             Versioned minions) {
         /** Adds all to a shard's state. */
-        void fill(ShardState state) {
+        void fill(ShardState state, long nowNanos) {
             List<JobEntry> entries = new ArrayList<>();
             String prefix = JobKeys.jobs(state.mPool);
-            jobs.forEach(item -> job(item, prefix).ifPresent(entries::add));
+            jobs.forEach(item -> job(item, prefix, nowNanos).ifPresent(entries::add));
             String deputies = JobKeys.deputyJobs(state.mPool);
             String cancels = JobKeys.deputyCancels(state.mPool);
             for (Versioned item : deputy.entries()) {
                 if (item.key().startsWith(deputies)) {
-                    job(item, deputies).ifPresent(entries::add);
+                    job(item, deputies, nowNanos).ifPresent(entries::add);
                 } else if (item.key().startsWith(cancels)) {
                     state.mCanceledEarly.add(item.key().substring(cancels.length()));
                 }
@@ -119,7 +117,10 @@
                 state.add(entry);
             }
             decode(minions, StoredMinions.class)
-                    .ifPresent(stored -> stored.minions().forEach(state::addInherited));
+                    .ifPresent(
+                            stored ->
+                                    stored.minions()
+                                            .forEach(info -> state.addInherited(info, nowNanos)));
         }
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardState.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardState.java
@@ -50,11 +50,11 @@
     }
 
     /** Adds a minion that may run tasks of an earlier owner. */
-    void addInherited(MinionInfo info) {
+    void addInherited(MinionInfo info, long nowNanos) {
         MinionSession session = new MinionSession(info);
         session.mIsRecorded = true;
         session.mIsListed = false;
-        session.mUnlistedNanos = System.nanoTime();
+        session.mUnlistedNanos = nowNanos;
         mMinions.put(info.id(), session);
         mUnasked.add(info.id());
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskEntry.java
@@ -1,5 +1,8 @@
 package org.endivetray.daemon.job.shard;
 
+import java.util.HashSet;
+import java.util.Set;
+
 /**
  * What the owner of a shard knows of one task.
  *
@@ -14,8 +17,7 @@
     TaskPhase mPhase = TaskPhase.WAITING;
     MinionSession mMinion;
     int mRun;
-    int mFailures;
-    int mCountedRun;
+    final Set<Integer> mFailedRuns = new HashSet<>();
     String mCheckpoint = "";
     long mOrderedNanos;
     long mAckedNanos;
@@ -46,6 +48,6 @@
 
     /** Returns whether there is anything to keep beyond the job itself. */
     boolean isWorthStoring() {
-        return mPhase == TaskPhase.DONE || mFailures > 0 || !mCheckpoint.isEmpty();
+        return mPhase == TaskPhase.DONE || !mFailedRuns.isEmpty() || !mCheckpoint.isEmpty();
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskFlow.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskFlow.java
@@ -62,7 +62,7 @@
      * @param ticket permission of the placement advice, empty if none is needed
      */
     void start(TaskEntry task, MinionSession minion, String ticket) {
-        long now = System.nanoTime();
+        long now = mContext.calls().nanoTime();
         JobEntry job = task.mStep.mJob;
         task.mRun++;
         task.mPhase = TaskPhase.STARTING;
@@ -96,21 +96,19 @@
     }
 
     private void onStartReply(TaskEntry task, MinionSession minion, int run, OrderReply reply) {
-        long now = System.nanoTime();
+        long now = mContext.calls().nanoTime();
         minion.mStartsInFlight--;
         mState.mNeedsDispatch = true;
         OrderOutcome outcome = reply.outcome();
         mContext.metrics().onStart(mState.mPool, outcome.name());
-        if (outcome != OrderOutcome.DONE) {
-            LOGGER.log(
-                    Level.INFO,
-                    "place: start {0} task={1} run={2} minion={3} age={4}ms",
-                    outcome,
-                    task.mName,
-                    Integer.toString(run),
-                    minion.id(),
-                    Long.toString(TimeUnit.NANOSECONDS.toMillis(now - task.mOrderedNanos)));
-        }
+        LOGGER.log(
+                Level.INFO,
+                "place: start {0} task={1} run={2} minion={3} millis={4}",
+                outcome,
+                task.mName,
+                Integer.toString(run),
+                minion.id(),
+                Long.toString(TimeUnit.NANOSECONDS.toMillis(now - task.mOrderedNanos)));
         if (outcome == OrderOutcome.FENCED) {
             mOnFenced.run();
             return;
@@ -171,7 +169,7 @@
     private void sendStop(TaskEntry task) {
         MinionSession minion = task.mMinion;
         int run = task.mRun;
-        task.mStopSentNanos = System.nanoTime();
+        task.mStopSentNanos = mContext.calls().nanoTime();
         mContext.calls()
                 .then(
                         mContext.minions().stop(minion.info(), task.mName, run, mState.mToken),
@@ -185,7 +183,7 @@
         }
         if (task.mMinion == minion && task.mRun == run && reply.outcome() == OrderOutcome.DONE) {
             task.mStopAcked = true;
-            task.mAckedNanos = System.nanoTime();
+            task.mAckedNanos = mContext.calls().nanoTime();
         }
     }
 
@@ -216,7 +214,7 @@
         task.mRun = run;
         task.mPhase = TaskPhase.RUNNING;
         task.mStep.mWaiting--;
-        task.mOrderedNanos = System.nanoTime();
+        task.mOrderedNanos = mContext.calls().nanoTime();
         task.mAckedNanos = task.mOrderedNanos;
         task.mStopAcked = false;
         minion.assign(task);
@@ -251,10 +249,17 @@
     void onEnded(MinionSession minion, EndedTask ended) {
         TaskEntry task = mState.task(ended.task());
         mContext.metrics().onEnd(mState.mPool, ended.end().name());
+        LOGGER.log(
+                Level.INFO,
+                "place: ended {0} task={1} run={2} minion={3}",
+                ended.end(),
+                ended.task(),
+                Integer.toString(ended.run()),
+                minion.id());
         if (task == null) {
             return;
         }
-        long now = System.nanoTime();
+        long now = mContext.calls().nanoTime();
         boolean isCurrent = task.mMinion == minion && task.mRun == ended.run();
         long workedNanos = now - task.mAckedNanos;
         if (isCurrent) {
@@ -310,17 +315,16 @@
     }
 
     private void onFailed(TaskEntry task, MinionSession minion, int run, long now) {
-        if (run <= task.mCountedRun) {
+        JobEntry job = task.mStep.mJob;
+        boolean isCounted = !task.mStep.mSpec.longRunning();
+        if (isCounted && !task.mFailedRuns.add(run)) {
             return;
         }
-        task.mCountedRun = run;
         mTrust.onFailed(minion, task, now);
-        JobEntry job = task.mStep.mJob;
-        if (job.mState.isFinal() || task.mStep.mSpec.longRunning()) {
+        if (!isCounted || job.mState.isFinal()) {
             return;
         }
-        task.mFailures++;
-        if (task.mFailures >= job.mStored.queue().attempts()) {
+        if (task.mFailedRuns.size() >= job.mStored.queue().attempts()) {
             finish(job, JobState.FAILED);
         } else {
             store(job, false);
@@ -335,7 +339,7 @@
      */
     void finish(JobEntry job, JobState state) {
         job.mState = state;
-        job.mEndedMillis = System.currentTimeMillis();
+        job.mEndedMillis = mContext.calls().currentTimeMillis();
         mState.mActive.remove(job.mId);
         LOGGER.log(Level.INFO, "job: ended job={0} state={1}", job.mId, state);
         for (List<StepEntry> steps : job.mOccurrences) {
--- /dev/null
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
@@ -0,0 +1,105 @@
+package org.endivetray.daemon.job.shard;
+
+import io.vertx.core.Future;
+import java.util.ArrayList;
+import java.util.List;
+import org.endivetray.daemon.job.record.JobKeys;
+import org.endivetray.daemon.observe.JobMetrics;
+import org.endivetray.job.JobSpec;
+import org.endivetray.job.MinionInfo;
+import org.endivetray.job.QueueConfig;
+import org.endivetray.job.StepSpec;
+import org.endivetray.platform.SharedStore.Condition;
+import org.endivetray.platform.site.JobAnswer;
+import org.endivetray.policy.job.DurationModel;
+
+/**
+ * Shards of one pool, owned one after the other, on a virtual clock.
+ *
+ * <p>This class is not thread-safe.
+ */
+final class ShardHarness {
+    static final String POOL = "ice";
+    static final QueueConfig QUEUE =
+            new QueueConfig("charts", "h", "/c/", POOL, 0, 2, 2.0, 600, false);
+    private static final long TICK_MILLIS = 10;
+    private static final long LEASE_MILLIS = 6_000;
+
+    final VirtualCalls mCalls = new VirtualCalls();
+    final VirtualStore mStore = new VirtualStore(mCalls);
+    final VirtualMinions mMinions = new VirtualMinions(mCalls);
+    final List<MinionInfo> mRegistered = new ArrayList<>();
+    final List<Shard> mShards = new ArrayList<>();
+
+    void addMinion(String id) {
+        mRegistered.add(mMinions.add(id, POOL, 8_000));
+    }
+
+    /** Returns a new owner of the pool's shard; the earlier one is not told. */
+    Shard takeOver() {
+        long token = mStore.put(JobKeys.OWNER_PREFIX + POOL, new byte[] {1});
+        ShardContext context =
+                new ShardContext(
+                        mStore,
+                        mMinions,
+                        null,
+                        mCalls,
+                        new JobMetrics(),
+                        new ShardLimits(LEASE_MILLIS, 120_000));
+        Shard shard =
+                new Shard(
+                        context,
+                        POOL,
+                        new Condition(JobKeys.OWNER_PREFIX + POOL, token),
+                        new DurationModel(),
+                        lost -> {});
+        shard.onRegistrations(mRegistered);
+        mShards.add(shard);
+        return shard;
+    }
+
+    /** Lets time pass for the shards given. */
+    void run(long millis, Shard... shards) {
+        for (long t = 0; t < millis; t += TICK_MILLIS) {
+            mCalls.advance(TICK_MILLIS);
+            for (Shard shard : shards) {
+                shard.onRegistrations(List.copyOf(mRegistered));
+                shard.tick(mCalls.nanoTime());
+            }
+        }
+    }
+
+    static StepSpec step(int count, Integer... after) {
+        return new StepSpec(
+                count,
+                1_000,
+                100,
+                0,
+                500,
+                List.of(after),
+                false,
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                false,
+                "",
+                0,
+                false,
+                -1);
+    }
+
+    static JobSpec job(StepSpec... steps) {
+        return new JobSpec("payload", List.of(steps), 0, 0, 0);
+    }
+
+    static String id(int number) {
+        return String.format("%016x", number);
+    }
+
+    Future<JobAnswer> submit(Shard shard, int number, StepSpec... steps) {
+        return shard.submit(QUEUE, id(number), job(steps));
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualCalls.java
@@ -0,0 +1,78 @@
+package org.endivetray.daemon.job.shard;
+
+import io.vertx.core.Future;
+import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.endivetray.daemon.job.ScheduledCalls;
+
+/**
+ * A clock that moves only when told to, and the work that is due on it.
+ *
+ * <p>This class is not thread-safe.
+ */
+final class VirtualCalls implements ScheduledCalls {
+    private static final long EPOCH_MILLIS = 1_700_000_000_000L;
+
+    private final PriorityQueue<Item> mQueue = new PriorityQueue<>();
+    private long mNowNanos = TimeUnit.SECONDS.toNanos(1);
+    private long mSequence;
+
+    @Override
+    public long nanoTime() {
+        return mNowNanos;
+    }
+
+    @Override
+    public long currentTimeMillis() {
+        return EPOCH_MILLIS + millis();
+    }
+
+    /** Returns the virtual time, in milliseconds. */
+    long millis() {
+        return TimeUnit.NANOSECONDS.toMillis(mNowNanos);
+    }
+
+    @Override
+    public <T> void then(Future<T> call, BiConsumer<T, Throwable> action) {
+        call.onComplete(
+                result ->
+                        run(
+                                () ->
+                                        action.accept(
+                                                result.succeeded() ? result.result() : null,
+                                                result.cause())));
+    }
+
+    @Override
+    public void later(long delayMillis, Runnable work) {
+        mQueue.add(
+                new Item(
+                        mNowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis), mSequence++, work));
+    }
+
+    @Override
+    public void run(Runnable work) {
+        later(0, work);
+    }
+
+    /** Runs all that is due within a time. */
+    void advance(long millis) {
+        long end = mNowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (!mQueue.isEmpty() && mQueue.peek().atNanos() <= end) {
+            Item item = mQueue.poll();
+            mNowNanos = Math.max(mNowNanos, item.atNanos());
+            item.work().run();
+        }
+        mNowNanos = end;
+    }
+
+    /** Work that is due at a time. */
+    private record Item(long atNanos, long sequence, Runnable work) implements Comparable<Item> {
+        @Override
+        public int compareTo(Item other) {
+            int byTime = Long.compare(atNanos, other.atNanos);
+            return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualStore.java
@@ -0,0 +1,209 @@
+package org.endivetray.daemon.job.shard;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.endivetray.EndivetrayException;
+import org.endivetray.ResultCode;
+import org.endivetray.platform.SharedStore;
+import org.endivetray.platform.Versioned;
+
+/**
+ * A shared store in memory on a virtual clock, with outages and lost answers.
+ *
+ * <p>This class is not thread-safe.
+ */
+final class VirtualStore implements SharedStore {
+    private static final long DELAY_MILLIS = 4;
+    private static final long TIMEOUT_MILLIS = 900;
+
+    private final VirtualCalls mCalls;
+    private final TreeMap<String, Versioned> mItems = new TreeMap<>();
+    private final List<Versioned> mEvents = new ArrayList<>();
+    private final List<Watcher> mWatchers = new ArrayList<>();
+    private long mRevision = 1;
+    private long mNextLease = 100;
+
+    /** How the store treats calls. */
+    enum Mode {
+        UP,
+        REFUSING,
+        SILENT,
+        ANSWERS_LOST,
+        LANDING_LATE
+    }
+
+    Mode mMode = Mode.UP;
+
+    VirtualStore(VirtualCalls calls) {
+        mCalls = calls;
+    }
+
+    /** Writes a key at once, as the operator or another daemon does. */
+    long put(String key, byte[] value) {
+        mRevision++;
+        apply(new Versioned(key, mRevision, value));
+        return mRevision;
+    }
+
+    /** Removes a key at once, as the end of a lease does. */
+    void remove(String key) {
+        mRevision++;
+        apply(new Versioned(key, mRevision, null));
+    }
+
+    Versioned get(String key) {
+        return mItems.getOrDefault(key, Versioned.absent(key));
+    }
+
+    private void apply(Versioned item) {
+        if (item.isPresent()) {
+            mItems.put(item.key(), item);
+        } else {
+            mItems.remove(item.key());
+        }
+        mEvents.add(item);
+        for (Watcher watcher : List.copyOf(mWatchers)) {
+            if (item.key().startsWith(watcher.prefix())) {
+                mWatchers.remove(watcher);
+                mCalls.later(
+                        DELAY_MILLIS,
+                        () ->
+                                watcher.promise()
+                                        .tryComplete(
+                                                eventsAfter(watcher.prefix(), watcher.after())));
+            }
+        }
+    }
+
+    private Range eventsAfter(String prefix, long after) {
+        return new Range(
+                mRevision,
+                mEvents.stream()
+                        .filter(item -> item.version() > after && item.key().startsWith(prefix))
+                        .toList());
+    }
+
+    private <T> Future<T> answer(java.util.function.Supplier<T> read) {
+        Promise<T> promise = Promise.promise();
+        if (mMode == Mode.REFUSING || mMode == Mode.SILENT) {
+            long delay = mMode == Mode.REFUSING ? DELAY_MILLIS : TIMEOUT_MILLIS;
+            mCalls.later(
+                    delay,
+                    () ->
+                            promise.tryFail(
+                                    new EndivetrayException(
+                                            ResultCode.STORE_UNAVAILABLE, "the store is away")));
+        } else {
+            mCalls.later(DELAY_MILLIS, () -> promise.tryComplete(read.get()));
+        }
+        return promise.future();
+    }
+
+    @Override
+    public Future<Versioned> read(String key) {
+        return answer(() -> get(key));
+    }
+
+    @Override
+    public Future<Range> list(String prefix, boolean mayBeStale) {
+        return answer(
+                () ->
+                        new Range(
+                                mRevision,
+                                mItems.values().stream()
+                                        .filter(item -> item.key().startsWith(prefix))
+                                        .toList()));
+    }
+
+    @Override
+    public Future<Range> watch(String prefix, long afterRevision, long waitMillis) {
+        if (mMode != Mode.UP && mMode != Mode.ANSWERS_LOST && mMode != Mode.LANDING_LATE) {
+            return answer(() -> null);
+        }
+        Range events = eventsAfter(prefix, afterRevision);
+        if (!events.entries().isEmpty()) {
+            return answer(() -> eventsAfter(prefix, afterRevision));
+        }
+        Promise<Range> promise = Promise.promise();
+        mWatchers.add(new Watcher(prefix, afterRevision, promise));
+        mCalls.later(waitMillis, () -> promise.tryComplete(eventsAfter(prefix, afterRevision)));
+        return promise.future();
+    }
+
+    @Override
+    public Future<CommitResult> commit(Commit commit) {
+        Promise<CommitResult> promise = Promise.promise();
+        switch (mMode) {
+            case UP -> mCalls.later(DELAY_MILLIS, () -> promise.complete(execute(commit)));
+            case REFUSING ->
+                    mCalls.later(
+                            DELAY_MILLIS,
+                            () -> promise.complete(result(CommitOutcome.NOT_DONE, 0)));
+            case SILENT ->
+                    mCalls.later(
+                            TIMEOUT_MILLIS,
+                            () -> promise.complete(result(CommitOutcome.UNKNOWN, 0)));
+            case ANSWERS_LOST -> {
+                mCalls.later(DELAY_MILLIS, () -> execute(commit));
+                mCalls.later(
+                        TIMEOUT_MILLIS, () -> promise.complete(result(CommitOutcome.UNKNOWN, 0)));
+            }
+            case LANDING_LATE -> {
+                mCalls.later(TIMEOUT_MILLIS * 3, () -> execute(commit));
+                mCalls.later(
+                        TIMEOUT_MILLIS, () -> promise.complete(result(CommitOutcome.UNKNOWN, 0)));
+            }
+        }
+        return promise.future();
+    }
+
+    private CommitResult execute(Commit commit) {
+        List<Versioned> current = new ArrayList<>();
+        boolean holds = true;
+        for (Condition condition : commit.conditions()) {
+            Versioned item = get(condition.key());
+            current.add(item);
+            holds &= item.version() == condition.version();
+        }
+        if (!holds) {
+            return new CommitResult(CommitOutcome.CONFLICT, 0, current);
+        }
+        mRevision++;
+        long revision = mRevision;
+        commit.writes()
+                .forEach(write -> apply(new Versioned(write.key(), revision, write.value())));
+        commit.removals().forEach(key -> apply(new Versioned(key, revision, null)));
+        return result(CommitOutcome.DONE, revision);
+    }
+
+    private static CommitResult result(CommitOutcome outcome, long revision) {
+        return new CommitResult(outcome, revision, List.of());
+    }
+
+    @Override
+    public Future<Long> createLease(long ttlMillis) {
+        return answer(() -> mNextLease++);
+    }
+
+    @Override
+    public Future<Boolean> renewLease(long lease) {
+        return answer(() -> true);
+    }
+
+    @Override
+    public Future<Void> endLease(long lease) {
+        return answer(() -> null);
+    }
+
+    /** Returns the keys with a prefix. */
+    Map<String, Versioned> under(String prefix) {
+        return mItems.subMap(prefix, prefix + Character.MAX_VALUE);
+    }
+
+    /** A watch that waits. */
+    private record Watcher(String prefix, long after, Promise<Range> promise) {}
+}
--- a/policy/src/main/java/org/endivetray/policy/job/PoolLoad.java
+++ b/policy/src/main/java/org/endivetray/policy/job/PoolLoad.java
@@ -12,13 +12,15 @@
  * @param totalCpuMillis processors of minions that take work, in thousandths of a core
  * @param emptyMinions ids of the minions that run nothing, not null
  * @param pinnedMinions ids of the minions that run tasks that last, not null
+ * @param wantedMinions minions that tasks that last wait for, beside the pinned ones
  */
 public record PoolLoad(
         long waitingCpuMillis,
         long usedCpuMillis,
         long totalCpuMillis,
         List<String> emptyMinions,
-        List<String> pinnedMinions) {
+        List<String> pinnedMinions,
+        int wantedMinions) {
     public PoolLoad {
         emptyMinions = List.copyOf(emptyMinions);
         pinnedMinions = List.copyOf(pinnedMinions);
--- a/wire/src/gen-java/org/endivetray/wire/gen/LoadReply.java
+++ b/wire/src/gen-java/org/endivetray/wire/gen/LoadReply.java
@@ -19,6 +19,7 @@
   private static final org.apache.thrift.protocol.TField TOTAL_CPU_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("totalCpuMillis", org.apache.thrift.protocol.TType.I64, (short)4);
   private static final org.apache.thrift.protocol.TField EMPTY_MINIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("emptyMinions", org.apache.thrift.protocol.TType.LIST, (short)5);
   private static final org.apache.thrift.protocol.TField PINNED_MINIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("pinnedMinions", org.apache.thrift.protocol.TType.LIST, (short)6);
+  private static final org.apache.thrift.protocol.TField WANTED_MINIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("wantedMinions", org.apache.thrift.protocol.TType.I32, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LoadReplyStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LoadReplyTupleSchemeFactory();
@@ -29,6 +30,7 @@
   private long totalCpuMillis; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> emptyMinions; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> pinnedMinions; // required
+  private int wantedMinions; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -37,7 +39,8 @@
     USED_CPU_MILLIS((short)3, "usedCpuMillis"),
     TOTAL_CPU_MILLIS((short)4, "totalCpuMillis"),
     EMPTY_MINIONS((short)5, "emptyMinions"),
-    PINNED_MINIONS((short)6, "pinnedMinions");
+    PINNED_MINIONS((short)6, "pinnedMinions"),
+    WANTED_MINIONS((short)7, "wantedMinions");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -65,6 +68,8 @@
           return EMPTY_MINIONS;
         case 6: // PINNED_MINIONS
           return PINNED_MINIONS;
+        case 7: // WANTED_MINIONS
+          return WANTED_MINIONS;
         default:
           return null;
       }
@@ -112,6 +117,7 @@
   private static final int __WAITINGCPUMILLIS_ISSET_ID = 1;
   private static final int __USEDCPUMILLIS_ISSET_ID = 2;
   private static final int __TOTALCPUMILLIS_ISSET_ID = 3;
+  private static final int __WANTEDMINIONS_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -130,6 +136,8 @@
     tmpMap.put(_Fields.PINNED_MINIONS, new org.apache.thrift.meta_data.FieldMetaData("pinnedMinions", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.WANTED_MINIONS, new org.apache.thrift.meta_data.FieldMetaData("wantedMinions", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LoadReply.class, metaDataMap);
   }
@@ -143,7 +151,8 @@
     long usedCpuMillis,
     long totalCpuMillis,
     java.util.List<java.lang.String> emptyMinions,
-    java.util.List<java.lang.String> pinnedMinions)
+    java.util.List<java.lang.String> pinnedMinions,
+    int wantedMinions)
   {
     this();
     this.isOwner = isOwner;
@@ -156,6 +165,8 @@
     setTotalCpuMillisIsSet(true);
     this.emptyMinions = emptyMinions;
     this.pinnedMinions = pinnedMinions;
+    this.wantedMinions = wantedMinions;
+    setWantedMinionsIsSet(true);
   }
 
   /**
@@ -175,6 +186,7 @@
       java.util.List<java.lang.String> __this__pinnedMinions = new java.util.ArrayList<java.lang.String>(other.pinnedMinions);
       this.pinnedMinions = __this__pinnedMinions;
     }
+    this.wantedMinions = other.wantedMinions;
   }
 
   @Override
@@ -194,6 +206,8 @@
     this.totalCpuMillis = 0;
     this.emptyMinions = null;
     this.pinnedMinions = null;
+    setWantedMinionsIsSet(false);
+    this.wantedMinions = 0;
   }
 
   public boolean isIsOwner() {
@@ -370,6 +384,29 @@
     }
   }
 
+  public int getWantedMinions() {
+    return this.wantedMinions;
+  }
+
+  public LoadReply setWantedMinions(int wantedMinions) {
+    this.wantedMinions = wantedMinions;
+    setWantedMinionsIsSet(true);
+    return this;
+  }
+
+  public void unsetWantedMinions() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WANTEDMINIONS_ISSET_ID);
+  }
+
+  /** Returns true if field wantedMinions is set (has been assigned a value) and false otherwise */
+  public boolean isSetWantedMinions() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WANTEDMINIONS_ISSET_ID);
+  }
+
+  public void setWantedMinionsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WANTEDMINIONS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -421,6 +458,14 @@
       }
       break;
 
+    case WANTED_MINIONS:
+      if (value == null) {
+        unsetWantedMinions();
+      } else {
+        setWantedMinions((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -446,6 +491,9 @@
     case PINNED_MINIONS:
       return getPinnedMinions();
 
+    case WANTED_MINIONS:
+      return getWantedMinions();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -470,6 +518,8 @@
       return isSetEmptyMinions();
     case PINNED_MINIONS:
       return isSetPinnedMinions();
+    case WANTED_MINIONS:
+      return isSetWantedMinions();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -541,6 +591,15 @@
         return false;
     }
 
+    boolean this_present_wantedMinions = true;
+    boolean that_present_wantedMinions = true;
+    if (this_present_wantedMinions || that_present_wantedMinions) {
+      if (!(this_present_wantedMinions && that_present_wantedMinions))
+        return false;
+      if (this.wantedMinions != that.wantedMinions)
+        return false;
+    }
+
     return true;
   }
 
@@ -564,6 +623,8 @@
     if (isSetPinnedMinions())
       hashCode = hashCode * 8191 + pinnedMinions.hashCode();
 
+    hashCode = hashCode * 8191 + wantedMinions;
+
     return hashCode;
   }
 
@@ -635,6 +696,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetWantedMinions(), other.isSetWantedMinions());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetWantedMinions()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.wantedMinions, other.wantedMinions);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -690,6 +761,10 @@
       sb.append(this.pinnedMinions);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("wantedMinions:");
+    sb.append(this.wantedMinions);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -706,6 +781,7 @@
     if (pinnedMinions == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'pinnedMinions' was not present! Struct: " + toString());
     }
+    // alas, we cannot check 'wantedMinions' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -815,6 +891,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // WANTED_MINIONS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.wantedMinions = iprot.readI32();
+              struct.setWantedMinionsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -835,6 +919,9 @@
       if (!struct.isSetTotalCpuMillis()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'totalCpuMillis' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetWantedMinions()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'wantedMinions' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -879,6 +966,9 @@
         }
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(WANTED_MINIONS_FIELD_DESC);
+      oprot.writeI32(struct.wantedMinions);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -915,6 +1005,7 @@
           oprot.writeString(_iter63);
         }
       }
+      oprot.writeI32(struct.wantedMinions);
     }
 
     @Override
@@ -950,6 +1041,8 @@
         }
       }
       struct.setPinnedMinionsIsSet(true);
+      struct.wantedMinions = iprot.readI32();
+      struct.setWantedMinionsIsSet(true);
     }
   }
 
--- a/wire/src/main/thrift/inner.thrift
+++ b/wire/src/main/thrift/inner.thrift
@@ -137,6 +137,7 @@
   4: required i64 totalCpuMillis
   5: required list<string> emptyMinions
   6: required list<string> pinnedMinions
+  7: required i32 wantedMinions
 }
 
 union Body {
