Give worker orders only under a lease that cannot have ended; count start-up as outage

Change: the holder orders only while its lease, by steady clock and time of day, cannot have ended. Ruled out: two stops in one pass (the ledger counts a task that is being stopped).

--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -119,6 +119,7 @@
                                 new PoolOwners(settings.name(), mLive::view, peers, innerJobs),
                                 mCalls,
                                 this::hasJobs,
+                                () -> ownership().isLeaseSure(),
                                 settings.holderMillis()),
                         mSite);
         mShards = new ShardHost(shardContext(metrics), local, mFleet, this::ownership);
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetContext.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetContext.java
@@ -1,5 +1,6 @@
 package org.endivetray.daemon.job.fleet;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.endivetray.daemon.job.ScheduledCalls;
 import org.endivetray.daemon.job.front.PoolOwners;
@@ -17,6 +18,7 @@
  * @param owners the owners of shards, not null
  * @param calls runs results on the scheduler's thread, not null
  * @param hasJobs whether a pool's minions run jobs, not null
+ * @param isLeaseSure whether no other daemon can be the holder, not null
  * @param holderMillis time between orders of two holders for one worker, in milliseconds
  */
 public record FleetContext(
@@ -26,4 +28,5 @@
         PoolOwners owners,
         ScheduledCalls calls,
         Predicate<String> hasJobs,
+        BooleanSupplier isLeaseSure,
         long holderMillis) {}
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/PoolBalancer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/PoolBalancer.java
@@ -197,6 +197,10 @@
     }
 
     private void order(PoolBalance.Move move) {
+        if (!mContext.isLeaseSure().getAsBoolean()) {
+            mOrdering.remove(move.worker());
+            return;
+        }
         long ordered = mContext.calls().nanoTime();
         mContext.calls()
                 .then(
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/WaveRun.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/WaveRun.java
@@ -308,7 +308,8 @@
         }
 
         private void order() {
-            if (mOrderedNanos == 0 && downCount() >= mWave.maxAtOnce()) {
+            boolean isFull = mOrderedNanos == 0 && downCount() >= mWave.maxAtOnce();
+            if (isFull || !mContext.isLeaseSure().getAsBoolean()) {
                 return;
             }
             mOrderedNanos = mContext.calls().nanoTime();
--- a/daemon/src/main/java/org/endivetray/daemon/job/own/Ownership.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/own/Ownership.java
@@ -36,6 +36,9 @@
     /** Time to live of the lease. Bounds the time without an owner after a crash. */
     private static final long LEASE_MILLIS = 2_500;
 
+    /** Taken off the lease for the way of an order. Several slow round trips. */
+    private static final long SURE_MARGIN_MILLIS = 600;
+
     /** Time between renewals. A quarter of the lease. */
     private static final long RENEW_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
@@ -66,6 +69,8 @@
     private long mNextCallNanos;
     private long mRegisteredNanos;
     private long mOverloadedNanos;
+    private long mRenewedNanos;
+    private long mRenewedMillis;
 
     /** Takes note of shards won and lost. */
     public interface Listener {
@@ -114,6 +119,27 @@
         return mIsRegistered;
     }
 
+    /**
+     * Returns whether this daemon's lease can certainly not have ended, so that no other daemon
+     * owns what it owns.
+     *
+     * <p>The steady clock stands still while a host is suspended and the time of day may jump, so
+     * both must agree.
+     */
+    public boolean isLeaseSure() {
+        long steady = TimeUnit.NANOSECONDS.toMillis(mCalls.nanoTime() - mRenewedNanos);
+        long ofDay = mCalls.currentTimeMillis() - mRenewedMillis;
+        return mIsRegistered
+                && steady < LEASE_MILLIS - SURE_MARGIN_MILLIS
+                && ofDay < LEASE_MILLIS - SURE_MARGIN_MILLIS
+                && ofDay >= steady - SURE_MARGIN_MILLIS;
+    }
+
+    private void onRenewed(long sentNanos, long sentMillis) {
+        mRenewedNanos = sentNanos;
+        mRenewedMillis = sentMillis;
+    }
+
     /** Returns the shards that are owned. */
     public Set<String> owned() {
         return Set.copyOf(mTokens.keySet());
@@ -149,12 +175,15 @@
 
     private void createLease() {
         mIsCalling = true;
+        long sentNanos = mCalls.nanoTime();
+        long sentMillis = mCalls.currentTimeMillis();
         mCalls.then(
                 mStore.createLease(LEASE_MILLIS),
                 (lease, cause) -> {
                     mIsCalling = false;
                     if (cause == null) {
                         mLease = lease;
+                        onRenewed(sentNanos, sentMillis);
                         mNextCallNanos = mCalls.nanoTime();
                     } else {
                         callAgain("lease", cause.getMessage());
@@ -184,6 +213,8 @@
 
     private void renew() {
         mIsCalling = true;
+        long sentNanos = mCalls.nanoTime();
+        long sentMillis = mCalls.currentTimeMillis();
         mCalls.then(
                 mStore.renewLease(mLease),
                 (exists, cause) -> {
@@ -191,6 +222,7 @@
                     if (cause != null) {
                         callAgain("renewal", cause.getMessage());
                     } else if (exists) {
+                        onRenewed(sentNanos, sentMillis);
                         mNextCallNanos = mCalls.nanoTime() + RENEW_NANOS;
                     } else {
                         onLeaseLost();
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Drains.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Drains.java
@@ -49,7 +49,7 @@
                 continue;
             }
             boolean lasts = task.mStep.mSpec.longRunning();
-            if (lasts && mayStop(task)) {
+            if (lasts && mayStop(task, nowNanos)) {
                 mFlow.stop(task, "drain");
             } else if (!lasts && minion.mIsDrainUrgent && minion.isAskedToDrain(nowNanos)) {
                 mFlow.stop(task, "drain");
@@ -57,8 +57,8 @@
         }
     }
 
-    private static boolean mayStop(TaskEntry task) {
-        return task.mStep.unavailable() + (task.isAtWork() ? 1 : 0)
-                <= task.mStep.mSpec.maxUnavailable();
+    private static boolean mayStop(TaskEntry task, long nowNanos) {
+        int others = task.mStep.unavailable(nowNanos) - (task.isAtWork(nowNanos) ? 0 : 1);
+        return others < task.mStep.mSpec.maxUnavailable();
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/StepEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/StepEntry.java
@@ -48,10 +48,10 @@
     }
 
     /** Returns the number of its tasks that are not at work. */
-    int unavailable() {
+    int unavailable(long nowNanos) {
         int unavailable = 0;
         for (TaskEntry task : mTasks) {
-            if (!task.isAtWork()) {
+            if (!task.isAtWork(nowNanos)) {
                 unavailable++;
             }
         }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskEntry.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * What the owner of a shard knows of one task.
@@ -11,6 +12,11 @@
  * <p>This class is not thread-safe; it belongs to the scheduler's thread.
  */
 final class TaskEntry {
+    private static final int FULL_PERCENT = 100;
+
+    /** Time that a task that lasts needs at most until it serves. Twice the usual start-up. */
+    private static final long STARTUP_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
     final StepEntry mStep;
     final int mIndex;
     final String mName;
@@ -41,9 +47,11 @@
         return mStep.mOccurrence + "." + mStep.mNumber + "." + mIndex;
     }
 
-    /** Returns whether it works at its full share. */
-    boolean isAtWork() {
-        return mPhase == TaskPhase.RUNNING && mPercent >= 100;
+    /** Returns whether it has certainly started up and works at its full share. */
+    boolean isAtWork(long nowNanos) {
+        return mPhase == TaskPhase.RUNNING
+                && mPercent >= FULL_PERCENT
+                && nowNanos - mAckedNanos >= STARTUP_NANOS;
     }
 
     /** Returns whether there is anything to keep beyond the job itself. */
