--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/HoldLoop.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/HoldLoop.java
@@ -45,6 +45,7 @@
     private final ShardState mState;
     private final Journal mJournal;
     private final TaskFlow mFlow;
+    private final PaceControl mPace;
     private final Runnable mOnFenced;
 
     HoldLoop(
@@ -57,6 +58,7 @@
         mState = state;
         mJournal = journal;
         mFlow = flow;
+        mPace = new PaceControl(context, state);
         mOnFenced = onFenced;
     }
 
@@ -80,6 +82,9 @@
             if (session.info().draining() != info.draining()) {
                 LOGGER.log(Level.INFO, "minion: draining minion={0}", info.id());
             }
+            if (session.isLaterIncarnation(info)) {
+                session.mIsAnswering = false;
+            }
             session.updateInfo(info);
             session.mIsListed = true;
         }
@@ -160,6 +165,7 @@
         }
         onEnds(session, listing.ended());
         onRunning(session, listing, sentNanos);
+        mPace.onListed(session, now);
         mState.mUnasked.remove(session.id());
         mState.mNeedsDispatch |= wasFirst;
         scheduleNext(session, now);
@@ -168,10 +174,11 @@
     private void scheduleNext(MinionSession session, long nowNanos) {
         if (session.mProcessedEnd > session.mStoredEnd) {
             long upTo = session.mProcessedEnd;
+            long born = session.bornMillis();
             session.mNextHoldNanos = nowNanos + UNSTORED_PAUSE_NANOS;
             mJournal.afterStored(
                     () -> {
-                        session.mStoredEnd = Math.max(session.mStoredEnd, upTo);
+                        session.onEndsStored(upTo, born);
                         session.mNextHoldNanos = mContext.calls().nanoTime();
                     });
         } else {
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
@@ -19,6 +19,9 @@
     /** Share by which a minion's steady clock may be slow. From the platform's rules. */
     private static final double CLOCK_DRIFT = 0.02;
 
+    /** Time without a word after which a minion may have ended and started again. */
+    private static final long SAME_INCARNATION_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
     /** Added to the latest end of a lease for the way of an order. One slow round trip. */
     private static final long LEASE_MARGIN_MILLIS = 100;
 
@@ -168,6 +171,28 @@
         return mLapseNanos == 0 || nowNanos - mLapseNanos >= 0;
     }
 
+    /** Returns the start of the incarnation that was heard last, in milliseconds since 1970. */
+    long bornMillis() {
+        return mBornMillis;
+    }
+
+    /**
+     * Notes that what ends changed is stored.
+     *
+     * @param upTo number of the last of the ends
+     * @param bornMillis the incarnation that listed them; a later one counts from 1 again
+     */
+    void onEndsStored(long upTo, long bornMillis) {
+        if (bornMillis == mBornMillis) {
+            mStoredEnd = Math.max(mStoredEnd, upTo);
+        }
+    }
+
+    /** Returns whether a registration is of a later incarnation than the one that was heard. */
+    boolean isLaterIncarnation(MinionInfo info) {
+        return mBornMillis != 0 && info.bornMillis() > mBornMillis;
+    }
+
     /**
      * Notes the minion's incarnation.
      *
@@ -190,10 +215,13 @@
      * Returns the listing order, which extends the lease of a minion that answers.
      *
      * <p>The lease of a silent minion is left to end: an order without an answer may have been
-     * carried out, so that nothing of the minion could ever be started elsewhere.
+     * carried out, so that nothing of the minion could ever be started elsewhere. Nor does such an
+     * order say which ends were seen: it may reach a new incarnation, whose ends begin at 1 again.
      */
     MinionOrders.HoldOrder holdOrder(long leaseMillis, int waitMillis, long token, long nowNanos) {
         long leaseEnd = mIsAnswering ? extendLease(leaseMillis, nowNanos) : 0;
-        return new MinionOrders.HoldOrder(leaseEnd, mStoredEnd, waitMillis, token);
+        boolean isRecent = mIsAnswering && nowNanos - mClockNanos < SAME_INCARNATION_NANOS;
+        long lastSeen = isRecent ? mStoredEnd : 0;
+        return new MinionOrders.HoldOrder(leaseEnd, lastSeen, waitMillis, token);
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskEntry.java
@@ -30,7 +30,7 @@
     long mUncertainNanos;
     long mNotBeforeNanos;
     int mPercent;
-    int mPacedPercent = 100;
+    long mPacedNanos;
     int mLoad;
     boolean mIsInherited;
     boolean mStopAcked;
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskFlow.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskFlow.java
@@ -71,7 +71,6 @@
         task.mUncertainNanos = 0;
         task.mStopAcked = false;
         task.mPercent = 0;
-        task.mPacedPercent = 100;
         minion.assign(task);
         minion.mStartsInFlight++;
         int run = task.mRun;
--- /dev/null
+++ b/policy/src/main/java/org/endivetray/policy/job/FillPace.java
@@ -0,0 +1,43 @@
+package org.endivetray.policy.job;
+
+/**
+ * The share at which tasks that fill may work beside tasks that serve.
+ *
+ * <p>The share is cut at once when response times come near their target, and raised in small steps
+ * while they are well below it.
+ *
+ * <p>This class has no state and is thread-safe.
+ */
+public final class FillPace {
+    private static final int FULL_PERCENT = 100;
+
+    /** Share of the target from which tasks that fill are slowed down. */
+    private static final double HIGH = 0.8;
+
+    /** Share of the target below which they may work more. */
+    private static final double LOW = 0.55;
+
+    /** Raise of one step, in percent of a processor share. */
+    private static final int RAISE_PERCENT = 10;
+
+    private FillPace() {}
+
+    /**
+     * Returns the next share, 0 to 100.
+     *
+     * @param percent the present share, 0 to 100
+     * @param worstRatio highest tail beside it relative to its target
+     */
+    public static int next(int percent, double worstRatio) {
+        if (worstRatio >= 1) {
+            return 0;
+        }
+        if (worstRatio >= HIGH) {
+            return percent / 2;
+        }
+        if (worstRatio <= LOW) {
+            return Math.min(FULL_PERCENT, percent + RAISE_PERCENT);
+        }
+        return percent;
+    }
+}
