Call a minion empty only after it has said so; keep it empty while a move is not answered

Ruled out: the ledger of outages (one stop at a time in the log, each replaced after 2.5 s). Test: aNewOwnerCallsAMinionEmptyOnlyAfterItHasAskedIt, red before, green now. Also: an owner that hands over says nothing is empty; a move without an answer is repeated with the minion kept empty.

--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/PoolBalancer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/PoolBalancer.java
@@ -35,6 +35,9 @@
     /** Time for which a pool's load is believed. */
     private static final long LOAD_VALID_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
+    /** Pause before an order that was not answered is given again. */
+    private static final long REPEAT_MILLIS = 200;
+
     /** Least time between two moves of a worker. A worker that moves does no work meanwhile. */
     private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(4_000);
 
@@ -177,26 +180,30 @@
                         .filter(info -> info.id().equals(move.worker()))
                         .findFirst()
                         .orElse(null);
-        if (worker == null || !mOrdering.add(move.worker())) {
-            return;
+        if (worker != null && mOrdering.add(move.worker())) {
+            empty(move, worker.minion());
         }
+    }
+
+    /** Asks for the worker's minion to be kept empty, then moves the worker. */
+    private void empty(PoolBalance.Move move, String minion) {
         if (!mContext.hasJobs().test(move.from())) {
-            order(move);
+            order(move, minion);
             return;
         }
         mContext.calls()
                 .then(
-                        mContext.owners().drain(move.from(), worker.minion(), false),
+                        mContext.owners().drain(move.from(), minion, false),
                         (reply, cause) -> {
                             if (cause == null && reply.isIsEmpty() && !mIsEnded) {
-                                order(move);
+                                order(move, minion);
                             } else {
                                 mOrdering.remove(move.worker());
                             }
                         });
     }
 
-    private void order(PoolBalance.Move move) {
+    private void order(PoolBalance.Move move, String minion) {
         if (!mContext.isLeaseSure().getAsBoolean()) {
             mOrdering.remove(move.worker());
             return;
@@ -206,10 +213,11 @@
                 .then(
                         mContext.machines()
                                 .move(move.worker(), move.to(), mContext.name(), mOwner.version()),
-                        (outcome, cause) -> onOutcome(move, outcome, ordered));
+                        (outcome, cause) -> onOutcome(move, minion, outcome, ordered));
     }
 
-    private void onOutcome(PoolBalance.Move move, WorkerOrderOutcome outcome, long ordered) {
+    private void onOutcome(
+            PoolBalance.Move move, String minion, WorkerOrderOutcome outcome, long ordered) {
         LOGGER.log(
                 Level.INFO,
                 "fleet: move worker={0} from={1} to={2} outcome={3}",
@@ -218,6 +226,11 @@
                 move.to(),
                 outcome);
         mMovedNanos.put(move.worker(), ordered);
+        if (outcome == WorkerOrderOutcome.UNKNOWN && !mIsEnded) {
+            // It may yet be carried out, so the minion is kept empty until the outcome is known.
+            mContext.calls().later(REPEAT_MILLIS, () -> empty(move, minion));
+            return;
+        }
         if (outcome == WorkerOrderOutcome.DONE) {
             moveInList(move);
         }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -284,7 +284,7 @@
         for (MinionSession minion : mState.mMinions.values()) {
             used += minion.usedCpuMillis();
             total += minion.isOpen(nowNanos) ? minion.info().cpuMillis() : 0;
-            if (minion.tasks().isEmpty()) {
+            if (minion.isKnownEmpty()) {
                 empty.add(minion.id());
             }
             boolean isPinned =
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Drains.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Drains.java
@@ -24,15 +24,15 @@
         mFlow = flow;
     }
 
-    /** Asks for a minion to be emptied and returns whether it is. */
+    /** Asks for a minion to be emptied and returns whether it certainly is. */
     boolean request(String id, boolean isUrgent) {
         MinionSession minion = mState.mMinions.get(id);
         if (minion == null) {
-            return true;
+            return false;
         }
         minion.mDrainUntilNanos = mCalls.nanoTime() + REQUEST_NANOS;
         minion.mIsDrainUrgent = isUrgent;
-        return minion.tasks().isEmpty();
+        return minion.isKnownEmpty();
     }
 
     void tick(long nowNanos) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
@@ -73,6 +73,11 @@
         return mTasks;
     }
 
+    /** Returns whether nothing runs there, as far as the minion itself has told. */
+    boolean isKnownEmpty() {
+        return mHasAnswered && mTasks.isEmpty();
+    }
+
     /** Returns whether tasks may be started there now. */
     boolean isOpen(long nowNanos) {
         return mIsAnswering
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -330,6 +330,6 @@
      * @return whether nothing runs there that must not be ended
      */
     public boolean drain(String minion, boolean isUrgent) {
-        return isLoaded() && mDrains.request(minion, isUrgent);
+        return takesRequests() && mDrains.request(minion, isUrgent);
     }
 }
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
@@ -211,4 +211,25 @@
         assertThat(stateOf(shard, 1)).isEqualTo(JobState.COMPLETED);
         assertThat(List.copyOf(mSite.mShards)).hasSize(1);
     }
+
+    @Test
+    void aNewOwnerCallsAMinionEmptyOnlyAfterItHasAskedIt() {
+        mSite.mMinions.mBehaviour = (task, run) -> new VirtualMinions.Outcome(60_000, TaskEnd.DONE);
+        Shard first = startWith("m1");
+        mSite.submit(first, 1, ShardHarness.step(1));
+        mSite.run(200, first);
+        mSite.mMinions.minion("m1").mIsDark = true;
+        Shard second = mSite.takeOver();
+        mSite.run(50, second);
+        assertThat(second.isLoaded()).isTrue();
+        assertThat(second.drain("m1", false)).isFalse();
+        assertThat(second.load().emptyMinions()).isEmpty();
+        mSite.run(2_000, second);
+        assertThat(second.drain("m1", false)).isFalse();
+        assertThat(second.drain("m2", false)).isFalse();
+        mSite.mMinions.minion("m1").mIsDark = false;
+        mSite.run(2_000, second);
+        assertThat(second.drain("m1", false)).isFalse();
+        assertThat(mSite.mMinions.mStarts).hasSize(1);
+    }
 }
