--- a/daemon/src/main/java/org/endivetray/daemon/Main.java
+++ b/daemon/src/main/java/org/endivetray/daemon/Main.java
@@ -20,6 +20,7 @@
 import org.endivetray.daemon.observe.Logs;
 import org.endivetray.daemon.settings.SettingKey;
 import org.endivetray.daemon.settings.Settings;
+import sun.misc.Signal;
 
 /**
  * Starts one daemon from its settings file and stops it on SIGTERM.
@@ -70,7 +71,7 @@
             }
             Path file = settingsFile(line);
             if (line.getArgList().contains(SCHEDULE)) {
-                return runScheduler(JobSettings.ofFile(file), line.hasOption("check-settings"));
+                return runScheduler(file, line.hasOption("check-settings"));
             }
             Settings settings = Settings.ofFile(file);
             if (line.hasOption("check-settings")) {
@@ -95,18 +96,37 @@
         return Path.of(file);
     }
 
-    private static int runScheduler(JobSettings settings, boolean checkOnly) {
+    private static int runScheduler(Path file, boolean checkOnly) {
+        JobSettings settings = JobSettings.ofFile(file);
         if (checkOnly) {
             System.out.println("settings are valid");
             return 0;
         }
         Logs.start(settings.logLevel());
         JobDaemon daemon = new JobDaemon(settings);
+        // Without a handler the virtual machine would end on this signal.
+        Signal.handle(new Signal("HUP"), signal -> reload(file, settings));
         daemon.start();
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
         return 0;
     }
 
+    /** Reads the settings again; the log level takes effect at once, the rest at the next start. */
+    private static void reload(Path file, JobSettings current) {
+        Logger logger = System.getLogger(Main.class.getName());
+        try {
+            JobSettings settings = JobSettings.ofFile(file);
+            Logs.setLevel(settings.logLevel());
+            logger.log(Level.INFO, "settings: read again changed={0}", !settings.equals(current));
+        } catch (EndivetrayException e) {
+            logger.log(
+                    Level.WARNING,
+                    "settings: kept as they were code={0} reason={1}",
+                    Integer.toString(e.code().number()),
+                    e.getMessage());
+        }
+    }
+
     private static Options options() {
         Options options = new Options();
         options.addOption("s", "settings", true, "settings file, JSON with comments");
--- a/daemon/src/main/java/org/endivetray/daemon/job/front/JobRouter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/front/JobRouter.java
@@ -3,9 +3,9 @@
 import io.vertx.core.Future;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Function;
 import java.util.function.Supplier;
 import org.endivetray.EndivetrayException;
 import org.endivetray.daemon.job.own.LiveView;
@@ -20,6 +20,7 @@
 import org.endivetray.platform.site.SiteCodec;
 import org.endivetray.wire.gen.Body;
 import org.endivetray.wire.gen.JobAction;
+import org.endivetray.wire.gen.JobReply;
 import org.endivetray.wire.gen.JobRequest;
 import org.endivetray.wire.gen.JobVerdict;
 
@@ -118,22 +119,22 @@
             LOGGER.log(Level.INFO, "front: malformed job={0} reason={1}", id, e.getMessage());
             return Future.succeededFuture(JobAnswer.malformed(e.getMessage()));
         }
-        return route(JobAction.SUBMIT, queue, id, body, asked -> mStored.submit(queue, id, spec));
+        return route(JobAction.SUBMIT, queue, id, body, () -> mStored.submit(queue, id, spec));
     }
 
     @Override
     public Future<JobAnswer> state(QueueConfig queue, String id) {
-        return route(JobAction.STATE, queue, id, new byte[0], asked -> mStored.state(queue, id));
+        return route(JobAction.STATE, queue, id, new byte[0], () -> mStored.state(queue, id));
     }
 
     @Override
     public Future<JobAnswer> cancel(QueueConfig queue, String id) {
-        return route(JobAction.CANCEL, queue, id, new byte[0], asked -> mStored.cancel(queue, id));
+        return route(JobAction.CANCEL, queue, id, new byte[0], () -> mStored.cancel(queue, id));
     }
 
     @Override
     public Future<JobAnswer> pending(QueueConfig queue) {
-        return route(JobAction.PENDING, queue, "", new byte[0], asked -> lastPending(queue))
+        return route(JobAction.PENDING, queue, "", new byte[0], () -> lastPending(queue))
                 .onSuccess(
                         answer -> {
                             if (answer.pending() >= 0) {
@@ -155,7 +156,7 @@
             QueueConfig queue,
             String id,
             byte[] body,
-            Function<Asked, Future<JobAnswer>> fallback) {
+            Supplier<Future<JobAnswer>> fallback) {
         long start = System.nanoTime();
         JobRequest request = JobMessages.request(action, queue, id, body, true);
         return askOwner(request)
@@ -165,13 +166,13 @@
 
     /** Falls back to the store where the owner gave no answer or does not know the job. */
     private Future<JobAnswer> complete(
-            JobAction action, Asked asked, Function<Asked, Future<JobAnswer>> fallback) {
+            JobAction action, Asked asked, Supplier<Future<JobAnswer>> fallback) {
         boolean isUnknownJob =
                 asked.answer() != null && asked.answer().verdict() == Verdict.NO_SUCH_JOB;
         if (asked.answer() != null && !isUnknownJob) {
             return Future.succeededFuture(asked.answer());
         }
-        return fallback.apply(asked)
+        return fallback.get()
                 .map(
                         answer ->
                                 asked.mayHaveReached() && answer.verdict() == Verdict.REFUSED
@@ -189,7 +190,7 @@
             LOGGER.log(
                     Level.INFO,
                     "front: {0} job={1} queue={2} verdict={3} micros={4} reason={5}",
-                    action.name().toLowerCase(java.util.Locale.ROOT),
+                    action.name().toLowerCase(Locale.ROOT),
                     id,
                     queue.name(),
                     answer.verdict(),
@@ -230,7 +231,7 @@
      * @param mayHaveReached whether the owner may have done what was asked without saying so
      */
     private record Asked(JobAnswer answer, boolean mayHaveReached) {
-        static Asked ofReply(org.endivetray.wire.gen.JobReply reply) {
+        static Asked ofReply(JobReply reply) {
             return reply.getVerdict() == JobVerdict.NOT_OWNER
                     ? new Asked(null, false)
                     : new Asked(JobMessages.answer(reply), false);
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -102,8 +102,7 @@
     }
 
     private long expectedMillis(StepEntry step) {
-        return mDurations.expectedMillis(
-                step.mJob.mStored.queue().name() + "/" + step.mNumber, step.mSpec.estimateMillis());
+        return mDurations.expectedMillis(step.kind(), step.mSpec.estimateMillis());
     }
 
     /** Starts tasks of a step and returns how many are left waiting. */
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
@@ -51,7 +51,6 @@
     boolean mIsDrainUrgent;
     int mFailureStreak;
     int mStartsInFlight;
-    double mSlowness = 1;
 
     MinionSession(MinionInfo info) {
         mInfo = info;
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -52,6 +52,7 @@
     private final JobDesk mDesk;
     private final DeputyWatch mDeputies;
     private final Drains mDrains;
+    private final StallWatch mStalls;
     private final Consumer<Shard> mOnLost;
     private Phase mPhase = Phase.LOADING;
     private List<MinionInfo> mRegistrations = List.of();
@@ -100,6 +101,7 @@
         mDesk = new JobDesk(context.calls(), mState, mJournal, mFlow);
         mDeputies = new DeputyWatch(context, mState, mDesk, this::isLost);
         mDrains = new Drains(context.calls(), mState, mFlow);
+        mStalls = new StallWatch(mState, mFlow, durations);
     }
 
     /** Returns the shard's pool. */
@@ -177,6 +179,7 @@
         mHolds.tick(nowNanos);
         recordMinions();
         mDrains.tick(nowNanos);
+        mStalls.tick(nowNanos);
         adopt(nowNanos);
         boolean isDue = mState.mNeedsDispatch || nowNanos - mDispatchedNanos >= DISPATCH_NANOS;
         if (mPhase == Phase.ACTIVE && isDue && !mIsClosing) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/StepEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/StepEntry.java
@@ -42,6 +42,11 @@
         return mDone == mTasks.size();
     }
 
+    /** Returns the kind of its tasks, for what is learnt of them. */
+    String kind() {
+        return mJob.mStored.queue().name() + "/" + mNumber;
+    }
+
     /** Returns the number of its tasks on a minion. */
     int countOn(MinionSession minion) {
         return mPerMinion.getOrDefault(minion.id(), 0);
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskEntry.java
@@ -33,6 +33,7 @@
     long mPacedNanos;
     int mLoad;
     boolean mIsInherited;
+    boolean mWasStalled;
     boolean mStopAcked;
     long mStopSentNanos;
 
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskFlow.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskFlow.java
@@ -165,6 +165,12 @@
         sendStop(task);
     }
 
+    /** Stops a task that takes far too long, and takes it as a sign against its minion. */
+    void onStalled(TaskEntry task, long nowNanos) {
+        mTrust.onFailed(task.mMinion, nowNanos);
+        stop(task, "stalled");
+    }
+
     private void sendStop(TaskEntry task) {
         MinionSession minion = task.mMinion;
         int run = task.mRun;
@@ -271,7 +277,8 @@
         switch (ended.end()) {
             case DONE -> {
                 if (isCurrent && task.mCheckpoint.isEmpty()) {
-                    mDurations.onDone(key(task), TimeUnit.NANOSECONDS.toMillis(workedNanos));
+                    mDurations.onDone(
+                            task.mStep.kind(), TimeUnit.NANOSECONDS.toMillis(workedNanos));
                 }
                 mTrust.onDone(minion);
                 onDone(task, ended.run());
@@ -281,10 +288,6 @@
         }
     }
 
-    private static String key(TaskEntry task) {
-        return task.mStep.mJob.mStored.queue().name() + "/" + task.mStep.mNumber;
-    }
-
     private void saveCheckpoint(TaskEntry task, String checkpoint) {
         if (!checkpoint.isEmpty() && !task.mStep.mJob.mState.isFinal()) {
             task.mCheckpoint = checkpoint;
@@ -319,7 +322,7 @@
         if (isCounted && !task.mFailedRuns.add(run)) {
             return;
         }
-        mTrust.onFailed(minion, task, now);
+        mTrust.onFailed(minion, now);
         if (!isCounted || job.mState.isFinal()) {
             return;
         }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Trust.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Trust.java
@@ -42,7 +42,7 @@
         leaveOut(minion, REFUSAL_PAUSE_NANOS, nowNanos);
     }
 
-    void onFailed(MinionSession minion, TaskEntry task, long nowNanos) {
+    void onFailed(MinionSession minion, long nowNanos) {
         minion.mFailureStreak++;
         int over = minion.mFailureStreak - FAILURES_IN_A_ROW;
         if (over >= 0) {
--- a/daemon/src/main/java/org/endivetray/daemon/observe/Logs.java
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/Logs.java
@@ -40,6 +40,15 @@
         handler.setLevel(Level.ALL);
         ROOT.addHandler(handler);
         ROOT.setLevel(Level.WARNING);
+        setLevel(level);
+    }
+
+    /**
+     * Makes every logger write lines of another level and above.
+     *
+     * @param level DEBUG, INFO, WARNING or ERROR, not null
+     */
+    public static void setLevel(String level) {
         Logger.getLogger("org.endivetray").setLevel(toJul(level));
     }
 
--- a/daemon/src/main/java/org/endivetray/daemon/observe/Metrics.java
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/Metrics.java
@@ -3,12 +3,7 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import org.endivetray.EndivetrayException;
 import org.endivetray.ResultCode;
 
 /**
@@ -141,12 +136,6 @@
 
     /** Returns all metrics in Prometheus's text format. */
     public String text() {
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        try {
-            PrometheusTextFormatWriter.create().write(out, mRegistry.scrape());
-        } catch (IOException e) {
-            throw new EndivetrayException(ResultCode.INTERNAL, "cannot write metrics", e);
-        }
-        return out.toString(StandardCharsets.UTF_8);
+        return MetricsText.of(mRegistry);
     }
 }
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
@@ -232,4 +232,20 @@
         assertThat(second.drain("m1", false)).isFalse();
         assertThat(mSite.mMinions.mStarts).hasSize(1);
     }
+
+    @Test
+    void aTaskThatStandsStillIsStartedElsewhereOnceOthersOfItsKindAreKnown() {
+        mSite.mMinions.mBehaviour =
+                (task, run) ->
+                        new VirtualMinions.Outcome(
+                                task.startsWith(ShardHarness.id(2)) && run == 1 ? 60_000 : 300,
+                                TaskEnd.DONE);
+        Shard shard = startWith("m1", "m2");
+        mSite.submit(shard, 1, ShardHarness.step(8));
+        mSite.run(1_000, shard);
+        mSite.submit(shard, 2, ShardHarness.step(1));
+        mSite.run(5_000, shard);
+        assertThat(stateOf(shard, 2)).isEqualTo(JobState.COMPLETED);
+        assertThat(mSite.mMinions.mStarts).hasSize(10);
+    }
 }
--- a/policy/src/main/java/org/endivetray/policy/job/DurationModel.java
+++ b/policy/src/main/java/org/endivetray/policy/job/DurationModel.java
@@ -29,6 +29,12 @@
         mMeans.computeIfAbsent(kind, ignored -> new Mean()).add(millis);
     }
 
+    /** Returns whether enough durations of a kind are known to rely on their mean. */
+    public boolean isLearnt(String kind) {
+        Mean mean = mMeans.get(kind);
+        return mean != null && mean.mCount >= ENOUGH;
+    }
+
     /**
      * Returns the expected duration, in milliseconds.
      *
@@ -36,11 +42,7 @@
      * @param declaredMillis what was declared, in milliseconds
      */
     public long expectedMillis(String kind, long declaredMillis) {
-        Mean mean = mMeans.get(kind);
-        if (mean == null || mean.mCount < ENOUGH) {
-            return Math.max(1, declaredMillis);
-        }
-        return Math.max(1, Math.round(mean.mMillis));
+        return Math.max(1, isLearnt(kind) ? Math.round(mMeans.get(kind).mMillis) : declaredMillis);
     }
 
     /** A mean that follows slow changes. */
