--- a/wire/src/main/java/org/endivetray/wire/InnerPeer.java
+++ b/wire/src/main/java/org/endivetray/wire/InnerPeer.java
@@ -116,12 +116,13 @@
 
     /** Fails a message, and replaces a connection on which nothing has arrived since. */
     private void onTimeout(long id, long sentNanos) {
-        boolean isSilent = mReceivedNanos - sentNanos < 0;
+        boolean isOpen = mSocket != null && mSocket.succeeded();
+        boolean isSilent = isOpen && mReceivedNanos - sentNanos < 0;
         fail(id, "no reply in time");
-        if (isSilent && mSocket != null) {
-            Future<NetSocket> silent = mSocket;
+        if (isSilent) {
+            NetSocket silent = mSocket.result();
             mSocket = null;
-            silent.onSuccess(NetSocket::close);
+            silent.close();
         }
     }
 
@@ -140,6 +141,8 @@
     }
 
     private NetSocket opened(NetSocket socket) {
+        // A connection that opens late has not been silent for the messages that waited for it.
+        mReceivedNanos = System.nanoTime();
         FrameReader reader = new FrameReader(this::onReply);
         socket.handler(
                 bytes -> {
