--- a/daemon/src/main/java/org/endivetray/daemon/Main.java
+++ b/daemon/src/main/java/org/endivetray/daemon/Main.java
@@ -20,6 +20,7 @@
 import org.endivetray.daemon.observe.Logs;
 import org.endivetray.daemon.settings.SettingKey;
 import org.endivetray.daemon.settings.Settings;
+import org.endivetray.platform.site.SiteEnvironment;
 import sun.misc.Signal;
 
 /**
@@ -34,7 +35,6 @@
     /** Command that schedules jobs on the users' platform. */
     private static final String SCHEDULE = "schedule";
 
-    private static final String SETTINGS_VARIABLE = "ENDIVETRAY_BOOT";
     private static final long START_SECONDS = 30;
     private static final long STOP_SECONDS = 90;
 
@@ -89,7 +89,7 @@
 
     /** Returns the settings file, which the platform names in the environment. */
     private static Path settingsFile(CommandLine line) throws ParseException {
-        String file = line.getOptionValue("settings", System.getenv(SETTINGS_VARIABLE));
+        String file = line.getOptionValue("settings", SiteEnvironment.settingsFile().orElse(null));
         if (file == null) {
             throw new ParseException("missing option --settings");
         }
