Count tasks on a silent minion as unavailable before another one is emptied

Ruled out: the answer that a minion is empty (the stop was the owner's own). Test: tasksOnASilentMinionCountAsUnavailableWhenAnotherIsToBeEmptied, red before, green now.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskEntry.java
@@ -48,9 +48,10 @@
         return mStep.mOccurrence + "." + mStep.mNumber + "." + mIndex;
     }
 
-    /** Returns whether it has certainly started up and works at its full share. */
+    /** Returns whether it has certainly started up, and worked in full when last heard of. */
     boolean isAtWork(long nowNanos) {
         return mPhase == TaskPhase.RUNNING
+                && mMinion.mIsAnswering
                 && mPercent >= FULL_PERCENT
                 && nowNanos - mAckedNanos >= STARTUP_NANOS;
     }
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
@@ -273,4 +273,25 @@
         mSite.run(1_000, second);
         assertThat(stateOf(second, 1)).isEqualTo(JobState.COMPLETED);
     }
+
+    @Test
+    void tasksOnASilentMinionCountAsUnavailableWhenAnotherIsToBeEmptied() {
+        mSite.mMinions.mBehaviour =
+                (task, run) -> new VirtualMinions.Outcome(600_000, TaskEnd.DONE);
+        Shard shard = startWith("m1", "m2", "m3");
+        StepSpec lasting =
+                new StepSpec(
+                        3, 1_000, 100, 0, 0, List.of(), false, false, false, "", "", 1, false, true,
+                        "", 0, false, 1);
+        mSite.submit(shard, 1, lasting);
+        mSite.run(5_000, shard);
+        assertThat(mSite.mMinions.mStarts).hasSize(3);
+        mSite.mMinions.minion("m1").mIsDark = true;
+        mSite.run(2_500, shard);
+        for (int i = 0; i < 10; i++) {
+            assertThat(shard.drain("m2", true)).isFalse();
+            mSite.run(200, shard);
+        }
+        assertThat(mSite.mMinions.minion("m2").mRuns).hasSize(1);
+    }
 }
