Move workers by where a pool's demand goes, not by where it stands

Ruled out: registrations (found 1.5 to 1.8 s after each order), the listing of workers (every 0.4 s).

--- a/daemon/src/main/java/org/endivetray/daemon/archive/ArchiveTraining.java
+++ b/daemon/src/main/java/org/endivetray/daemon/archive/ArchiveTraining.java
@@ -120,11 +120,7 @@
 
     private static Path ownJar() throws URISyntaxException {
         return Path.of(
-                ArchiveTraining.class
-                        .getProtectionDomain()
-                        .getCodeSource()
-                        .getLocation()
-                        .toURI());
+                ArchiveTraining.class.getProtectionDomain().getCodeSource().getLocation().toURI());
     }
 
     private static <T> T await(Future<T> future) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/PoolBalancer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/PoolBalancer.java
@@ -15,6 +15,7 @@
 import org.endivetray.job.WorkerInfo;
 import org.endivetray.platform.MachineService.WorkerOrderOutcome;
 import org.endivetray.platform.SharedStore.Condition;
+import org.endivetray.policy.job.DemandForecast;
 import org.endivetray.policy.job.PoolBalance;
 import org.endivetray.wire.gen.LoadReply;
 
@@ -41,8 +42,8 @@
     /** Least time between two moves of a worker. A worker that moves does no work meanwhile. */
     private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(4_000);
 
-    /** Weight of a new load in the smoothed demand of a pool that asks for less than before. */
-    private static final double FALL_WEIGHT = 0.25;
+    /** Time from an order until the worker runs tasks. The platform's move, then registration. */
+    private static final long MOVE_LEAD_MILLIS = 1_800;
 
     private final FleetContext mContext;
     private final SiteWatch mSite;
@@ -74,7 +75,7 @@
         if (load == null) {
             return 0;
         }
-        return load.mDemand / Math.max(1, load.mReply.getTotalCpuMillis());
+        return load.mForecast.latest() / (double) Math.max(1, load.mReply.getTotalCpuMillis());
     }
 
     /** Returns whether nothing runs on a minion as far as is known. */
@@ -170,7 +171,7 @@
                 count,
                 load == null ? 0 : load.pinnedWorkers(),
                 idle,
-                load == null ? 0 : Math.round(load.mDemand),
+                load == null ? 0 : load.mForecast.after(MOVE_LEAD_MILLIS),
                 cpu);
     }
 
@@ -256,10 +257,10 @@
         mWorkers = workers;
     }
 
-    /** The latest load of a pool; demand rises at once and falls slowly. */
+    /** The latest load of a pool and where its demand goes. */
     private static final class Load {
+        private final DemandForecast mForecast = new DemandForecast();
         private LoadReply mReply;
-        private double mDemand;
         private long mNanos;
 
         private int pinnedWorkers() {
@@ -267,9 +268,7 @@
         }
 
         private void update(LoadReply reply, long nowNanos) {
-            double demand = reply.getWaitingCpuMillis() + reply.getUsedCpuMillis();
-            boolean rises = mReply == null || demand > mDemand;
-            mDemand = rises ? demand : mDemand + (demand - mDemand) * FALL_WEIGHT;
+            mForecast.add(reply.getWaitingCpuMillis() + reply.getUsedCpuMillis(), nowNanos);
             mReply = reply;
             mNanos = nowNanos;
         }
