Let a new holder of worker orders wait only for workers that were ordered of late

Ruled out: the shards' takeover, the listing of workers, the store. Change: a worker is written into the record endivetray/fleet/orders, under the holder's condition, before its first order, and leaves it once its last order is long past on the holder's steady clock; a new holder leaves the workers in the record alone for the time between two holders and moves the others at once. Upkeep still begins after it, since the number of workers that are down is not known before. No time is stored, as clocks jump.

--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetKeeper.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetKeeper.java
@@ -17,7 +17,8 @@
 /**
  * Carries out maintenance waves and moves workers, as the one holder of orders to workers.
  *
- * <p>A new holder waits until orders of the one before can no longer overlap with its own.
+ * <p>A new holder leaves alone the workers that the one before may have ordered, and begins no
+ * upkeep, until orders of the two can no longer overlap.
  *
  * <p>Invariants: orders are given only under a token that is held.
  *
@@ -39,8 +40,9 @@
     private final SiteWatch mSite;
     private final Map<Long, WaveRun> mWaves = new TreeMap<>();
     private Condition mOwner;
+    private OrderLog mOrders;
     private PoolBalancer mBalancer;
-    private long mNotBeforeNanos;
+    private long mUpkeepFromNanos;
     private long mListedNanos;
     private boolean mIsListing;
 
@@ -59,12 +61,12 @@
     public void onOwned(Condition owner) {
         LOGGER.log(Level.INFO, "fleet: held token={0}", Long.toString(owner.version()));
         mOwner = owner;
-        mBalancer = new PoolBalancer(mContext, mSite, owner);
+        long waitMillis = mContext.holderMillis() + HOLDER_MARGIN_MILLIS;
+        mOrders = new OrderLog(mContext.store(), mContext.calls(), owner, waitMillis);
+        mOrders.start();
+        mBalancer = new PoolBalancer(mContext, mSite, owner, mOrders);
         mWaves.clear();
-        mNotBeforeNanos =
-                mContext.calls().nanoTime()
-                        + TimeUnit.MILLISECONDS.toNanos(
-                                mContext.holderMillis() + HOLDER_MARGIN_MILLIS);
+        mUpkeepFromNanos = mContext.calls().nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis);
     }
 
     /** Takes note that this daemon is no longer the holder. */
@@ -76,6 +78,7 @@
         if (mBalancer != null) {
             mBalancer.end();
             mBalancer = null;
+            mOrders.end();
         }
         mWaves.values().forEach(WaveRun::end);
         mWaves.clear();
@@ -93,16 +96,16 @@
         }
         for (WaveRequest wave : mSite.waves().values()) {
             mWaves.computeIfAbsent(
-                    wave.number(), number -> new WaveRun(mContext, mOwner, wave, mBalancer));
+                    wave.number(),
+                    number -> new WaveRun(mContext, mOwner, wave, mBalancer, mOrders));
         }
         Set<String> reserved = new HashSet<>();
         for (WaveRun wave : mWaves.values()) {
             wave.tick(nowNanos);
             reserved.addAll(wave.underWay());
         }
-        boolean mayOrder = nowNanos - mNotBeforeNanos >= 0;
-        mBalancer.tick(nowNanos, mayOrder, reserved);
-        if (mayOrder && !mIsListing && nowNanos - mListedNanos >= LIST_NANOS) {
+        mBalancer.tick(nowNanos, reserved);
+        if (!mIsListing && nowNanos - mListedNanos >= LIST_NANOS) {
             list(nowNanos);
         }
     }
@@ -128,6 +131,8 @@
         Map<String, WorkerInfo> byId = new HashMap<>();
         workers.forEach(worker -> byId.put(worker.id(), worker));
         mBalancer.onWorkers(workers);
-        mWaves.values().forEach(wave -> wave.onWorkers(byId, sentNanos));
+        if (sentNanos - mUpkeepFromNanos >= 0) {
+            mWaves.values().forEach(wave -> wave.onWorkers(byId, sentNanos));
+        }
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/PoolBalancer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/PoolBalancer.java
@@ -48,6 +48,7 @@
     private final FleetContext mContext;
     private final SiteWatch mSite;
     private final Condition mOwner;
+    private final OrderLog mOrders;
     private final Map<String, Load> mLoads = new HashMap<>();
     private final Map<String, Long> mMovedNanos = new HashMap<>();
     private final Set<String> mOrdering = new HashSet<>();
@@ -55,10 +56,11 @@
     private long mNextLoadNanos;
     private boolean mIsEnded;
 
-    PoolBalancer(FleetContext context, SiteWatch site, Condition owner) {
+    PoolBalancer(FleetContext context, SiteWatch site, Condition owner, OrderLog orders) {
         mContext = context;
         mSite = site;
         mOwner = owner;
+        mOrders = orders;
     }
 
     void end() {
@@ -88,10 +90,9 @@
      * Does what is due.
      *
      * @param nowNanos the steady clock
-     * @param mayOrder whether orders may be given yet
      * @param reserved workers that are not to be moved, not null
      */
-    void tick(long nowNanos, boolean mayOrder, Set<String> reserved) {
+    void tick(long nowNanos, Set<String> reserved) {
         SiteConfig config = mSite.config();
         if (config == null || nowNanos - mNextLoadNanos < 0) {
             return;
@@ -102,9 +103,7 @@
                 askLoad(pool.name());
             }
         }
-        if (mayOrder) {
-            PoolBalance.moves(states(config, nowNanos, reserved)).forEach(this::begin);
-        }
+        PoolBalance.moves(states(config, nowNanos, reserved)).forEach(this::begin);
     }
 
     private void askLoad(String pool) {
@@ -161,6 +160,7 @@
                     && isIdle
                     && isRested
                     && !mOrdering.contains(worker.id())
+                    && mOrders.mayOrder(worker.id())
                     && !reserved.contains(worker.id())) {
                 idle.add(worker.id());
             }
@@ -189,7 +189,7 @@
     /** Asks for the worker's minion to be kept empty, then moves the worker. */
     private void empty(PoolBalance.Move move, String minion) {
         if (!mContext.hasJobs().test(move.from())) {
-            order(move, minion);
+            prepare(move, minion);
             return;
         }
         mContext.calls()
@@ -197,6 +197,19 @@
                         mContext.owners().drain(move.from(), minion, false),
                         (reply, cause) -> {
                             if (cause == null && reply.isIsEmpty() && !mIsEnded) {
+                                prepare(move, minion);
+                            } else {
+                                mOrdering.remove(move.worker());
+                            }
+                        });
+    }
+
+    private void prepare(PoolBalance.Move move, String minion) {
+        mContext.calls()
+                .then(
+                        mOrders.prepare(move.worker()),
+                        (ignored, cause) -> {
+                            if (cause == null && !mIsEnded) {
                                 order(move, minion);
                             } else {
                                 mOrdering.remove(move.worker());
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/WaveRun.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/WaveRun.java
@@ -55,6 +55,7 @@
     private final Condition mOwner;
     private final WaveRequest mWave;
     private final PoolBalancer mBalancer;
+    private final OrderLog mOrders;
     private final Set<String> mDone = new TreeSet<>();
     private final Map<String, Outage> mOutages = new LinkedHashMap<>();
     private Map<String, WorkerInfo> mWorkers = Map.of();
@@ -68,8 +69,14 @@
     private boolean mIsCompleted;
     private boolean mIsEnded;
 
-    WaveRun(FleetContext context, Condition owner, WaveRequest wave, PoolBalancer balancer) {
+    WaveRun(
+            FleetContext context,
+            Condition owner,
+            WaveRequest wave,
+            PoolBalancer balancer,
+            OrderLog orders) {
         mBalancer = balancer;
+        mOrders = orders;
         mContext = context;
         mOwner = owner;
         mWave = wave;
@@ -290,11 +297,11 @@
                 return;
             }
             mMinion = info.minion();
+            mIsAsking = true;
             if (!mContext.hasJobs().test(info.pool())) {
-                order();
+                prepare();
                 return;
             }
-            mIsAsking = true;
             boolean isUrgent = nowNanos - mSinceNanos >= PATIENCE_NANOS;
             mContext.calls()
                     .then(
@@ -302,6 +309,19 @@
                             (reply, cause) -> {
                                 mIsAsking = false;
                                 if (cause == null && reply.isIsEmpty() && !mIsEnded) {
+                                    prepare();
+                                }
+                            });
+        }
+
+        private void prepare() {
+            mIsAsking = true;
+            mContext.calls()
+                    .then(
+                            mOrders.prepare(mWorker),
+                            (ignored, cause) -> {
+                                mIsAsking = false;
+                                if (cause == null && !mIsEnded) {
                                     order();
                                 }
                             });
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.endivetray.daemon.job.record.JobKeys;
+import org.endivetray.daemon.job.virtual.VirtualCalls;
+import org.endivetray.daemon.job.virtual.VirtualStore;
 import org.endivetray.daemon.observe.JobMetrics;
 import org.endivetray.job.JobSpec;
 import org.endivetray.job.MinionInfo;
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.daemon.job.record.StoredJob;
+import org.endivetray.daemon.job.virtual.VirtualStore;
 import org.endivetray.job.JobState;
 import org.endivetray.job.StepSpec;
 import org.endivetray.job.TaskEnd;
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/TakeoverProperties.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/TakeoverProperties.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.constraints.LongRange;
+import org.endivetray.daemon.job.virtual.VirtualStore;
 import org.endivetray.job.JobState;
 import org.endivetray.job.TaskEnd;
 import org.endivetray.job.TaskId;
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualMinions.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualMinions.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.endivetray.daemon.job.virtual.VirtualCalls;
 import org.endivetray.job.MinionInfo;
 import org.endivetray.job.TaskEnd;
 import org.endivetray.platform.MinionOrders;
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualCalls.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/virtual/VirtualCalls.java
@@ -1,4 +1,4 @@
-package org.endivetray.daemon.job.shard;
+package org.endivetray.daemon.job.virtual;
 
 import io.vertx.core.Future;
 import java.util.PriorityQueue;
@@ -11,7 +11,7 @@
  *
  * <p>This class is not thread-safe.
  */
-final class VirtualCalls implements ScheduledCalls {
+public final class VirtualCalls implements ScheduledCalls {
     private static final long EPOCH_MILLIS = 1_700_000_000_000L;
 
     private final PriorityQueue<Item> mQueue = new PriorityQueue<>();
@@ -29,7 +29,7 @@
     }
 
     /** Returns the virtual time, in milliseconds. */
-    long millis() {
+    public long millis() {
         return TimeUnit.NANOSECONDS.toMillis(mNowNanos);
     }
 
@@ -57,7 +57,7 @@
     }
 
     /** Runs all that is due within a time. */
-    void advance(long millis) {
+    public void advance(long millis) {
         long end = mNowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
         while (!mQueue.isEmpty() && mQueue.peek().atNanos() <= end) {
             Item item = mQueue.poll();
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualStore.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/virtual/VirtualStore.java
@@ -1,4 +1,4 @@
-package org.endivetray.daemon.job.shard;
+package org.endivetray.daemon.job.virtual;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -16,7 +16,7 @@
  *
  * <p>This class is not thread-safe.
  */
-final class VirtualStore implements SharedStore {
+public final class VirtualStore implements SharedStore {
     private static final long DELAY_MILLIS = 4;
     private static final long TIMEOUT_MILLIS = 900;
 
@@ -28,7 +28,7 @@
     private long mNextLease = 100;
 
     /** How the store treats calls. */
-    enum Mode {
+    public enum Mode {
         UP,
         REFUSING,
         SILENT,
@@ -36,26 +36,26 @@
         LANDING_LATE
     }
 
-    Mode mMode = Mode.UP;
+    public Mode mMode = Mode.UP;
 
-    VirtualStore(VirtualCalls calls) {
+    public VirtualStore(VirtualCalls calls) {
         mCalls = calls;
     }
 
     /** Writes a key at once, as the operator or another daemon does. */
-    long put(String key, byte[] value) {
+    public long put(String key, byte[] value) {
         mRevision++;
         apply(new Versioned(key, mRevision, value));
         return mRevision;
     }
 
     /** Removes a key at once, as the end of a lease does. */
-    void remove(String key) {
+    public void remove(String key) {
         mRevision++;
         apply(new Versioned(key, mRevision, null));
     }
 
-    Versioned get(String key) {
+    public Versioned get(String key) {
         return mItems.getOrDefault(key, Versioned.absent(key));
     }
 
