Take the shards of an earlier life back at once after a restart

Ruled out: the start of the process (listening at 35.51 s), the reading of the records. Change: a registered daemon replaces the owner's keys that name an earlier incarnation of itself, by compare-and-swap on the version that it saw; that process is gone, since a host runs one daemon of a name. No longer used: isRegistered, isKnown. Test: OwnershipTest.aDaemonThatStartsAgain..., red before, green now.

--- a/daemon/src/main/java/org/endivetray/daemon/job/own/MinionDirectory.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/own/MinionDirectory.java
@@ -32,7 +32,6 @@
     private final Runnable mOnChange;
     private final Map<String, MinionInfo> mMinions = new HashMap<>();
     private boolean mIsRunning;
-    private boolean mIsKnown;
 
     /**
      * Constructs a directory that knows nothing.
@@ -50,11 +49,6 @@
         mOnChange = onChange;
     }
 
-    /** Returns whether the registrations have been read. */
-    public boolean isKnown() {
-        return mIsKnown;
-    }
-
     /** Starts to follow if needed and not yet under way. */
     public void ensureRunning() {
         if (!mIsRunning && mIsNeeded.getAsBoolean()) {
@@ -71,7 +65,6 @@
     private boolean pauseIfUnneeded() {
         if (!mIsNeeded.getAsBoolean()) {
             mIsRunning = false;
-            mIsKnown = false;
         }
         return !mIsRunning;
     }
@@ -90,7 +83,6 @@
                     }
                     mMinions.clear();
                     range.entries().forEach(this::apply);
-                    mIsKnown = true;
                     mOnChange.run();
                     mCalls.later(PAUSE_MILLIS, () -> watch(range.revision()));
                 });
--- a/daemon/src/main/java/org/endivetray/daemon/job/own/Ownership.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/own/Ownership.java
@@ -114,11 +114,6 @@
         mWanted = new TreeSet<>(shards);
     }
 
-    /** Returns whether this daemon is registered under a lease. */
-    public boolean isRegistered() {
-        return mIsRegistered;
-    }
-
     /**
      * Returns whether this daemon's lease can certainly not have ended, so that no other daemon
      * owns what it owns.
@@ -166,6 +161,9 @@
             }
         }
         compareWithView();
+        if (mIsRegistered && !mSelf.isStopping()) {
+            reclaim();
+        }
         boolean isSettled = mIsRegistered && nowNanos - mRegisteredNanos >= mSettleNanos;
         if (isSettled && !mSelf.isStopping()) {
             takeFree(nowNanos);
@@ -283,6 +281,27 @@
         }
     }
 
+    /**
+     * Takes the shards that an earlier incarnation of this daemon owned, whose lease has not ended
+     * yet; that process is gone, since a host runs one daemon of a name.
+     */
+    private void reclaim() {
+        LiveView view = mWatch.view();
+        view.owners()
+                .forEach(
+                        (shard, owner) -> {
+                            boolean isEarlier =
+                                    owner.daemon().equals(mSelf.name())
+                                            && owner.incarnation() != mSelf.incarnation();
+                            if (isEarlier
+                                    && mWanted.contains(shard)
+                                    && !mTokens.containsKey(shard)
+                                    && !mAttempts.contains(shard)) {
+                                take(shard, owner.token());
+                            }
+                        });
+    }
+
     private void takeFree(long nowNanos) {
         LiveView view = mWatch.view();
         Set<String> free = new TreeSet<>(mWanted);
@@ -299,18 +318,18 @@
             }
             int choice = (int) ((nowNanos - since) / NEXT_CHOICE_NANOS) % order.size();
             if (order.get(choice).equals(mSelf.name())) {
-                take(shard);
+                take(shard, SharedStore.ABSENT);
             }
         }
     }
 
-    private void take(String shard) {
+    private void take(String shard, long version) {
         mAttempts.add(shard);
         String key = JobKeys.OWNER_PREFIX + shard;
         byte[] value = Codec.encode(new LiveView.OwnerRecord(mSelf.name(), mSelf.incarnation()));
         Commit commit =
                 new Commit(
-                        List.of(new Condition(key, SharedStore.ABSENT)),
+                        List.of(new Condition(key, version)),
                         List.of(new Write(key, value, mLease)),
                         List.of());
         mCalls.then(
