Give shards to daemons by the processors of their hosts

Change: a daemon registers its host's processor; free shards go where the load with one more is least, and a daemon gives one up once another would carry it better. With equal hosts nothing changes.

--- a/daemon/src/main/java/org/endivetray/daemon/archive/ArchiveTraining.java
+++ b/daemon/src/main/java/org/endivetray/daemon/archive/ArchiveTraining.java
@@ -32,6 +32,7 @@
 public final class ArchiveTraining {
     private static final String HOST = "127.0.0.1";
     private static final String LOG_LEVEL = "INFO";
+    private static final int CPU_MILLIS = 1_000;
     private static final int UNAVAILABLE = 503;
     private static final int ANY_PORT = 0;
 
@@ -87,6 +88,7 @@
                 platform,
                 platform,
                 platform,
+                CPU_MILLIS,
                 false,
                 second,
                 second,
--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -137,7 +137,12 @@
         mMetricsServer = new MetricsServer(mVertx, metrics);
         LiveView.DaemonRecord self =
                 new LiveView.DaemonRecord(
-                        settings.name(), settings.host(), settings.innerPort(), incarnation, false);
+                        settings.name(),
+                        settings.host(),
+                        settings.innerPort(),
+                        incarnation,
+                        settings.cpuMillis(),
+                        false);
         mOwnership =
                 new Ownership(
                         mStore,
--- a/daemon/src/main/java/org/endivetray/daemon/job/JobSettings.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobSettings.java
@@ -28,6 +28,7 @@
  * @param store address of the shared store, not null
  * @param machines address of the machine service, not null
  * @param advice address of the placement advice, null if there is none
+ * @param cpuMillis processor of the host, in thousandths of a core
  * @param isBootstrap whether the whole system starts for the first time
  * @param maxLeaseMillis longest lease of what runs on a minion, in milliseconds
  * @param holderMillis time between orders of two holders for one worker, in milliseconds
@@ -46,6 +47,7 @@
         Address store,
         Address machines,
         Address advice,
+        int cpuMillis,
         boolean isBootstrap,
         long maxLeaseMillis,
         long holderMillis,
@@ -55,6 +57,9 @@
     private static final int MAX_PORT = 65_535;
     private static final long MILLIS_PER_SECOND = 1_000;
 
+    /** Thousandths of a core in one core. */
+    private static final long MILLIS = 1_000;
+
     /**
      * An address.
      *
@@ -107,6 +112,8 @@
                         reader.address("store"),
                         reader.address("machines"),
                         root.path("advice").asText().isEmpty() ? null : reader.address("advice"),
+                        Math.toIntExact(
+                                reader.positive("cpuShare", reader.positive("cores", MILLIS))),
                         root.path("bootstrap").asBoolean(),
                         reader.positive("maxLeaseMillis", 1),
                         reader.positive("holderMillis", 1),
--- a/daemon/src/main/java/org/endivetray/daemon/job/own/LiveView.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/own/LiveView.java
@@ -1,9 +1,9 @@
 package org.endivetray.daemon.job.own;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /**
  * The live daemons and the shards' owners as of one revision of the shared store.
@@ -30,13 +30,11 @@
         return owner == null ? Optional.empty() : Optional.ofNullable(daemons.get(owner.daemon()));
     }
 
-    /** Returns the names of the daemons that take shards. */
-    public List<String> takers() {
+    /** Returns the processors of the daemons that take shards, in thousandths of a core. */
+    public Map<String, Integer> takers() {
         return daemons.values().stream()
                 .filter(daemon -> !daemon.isStopping())
-                .map(DaemonRecord::name)
-                .sorted()
-                .toList();
+                .collect(Collectors.toMap(DaemonRecord::name, DaemonRecord::cpuMillis));
     }
 
     /** Returns the owning daemon by shard. */
@@ -53,10 +51,21 @@
      * @param host its IP number, not null
      * @param port port of the inner protocol
      * @param incarnation number of this life
+     * @param cpuMillis processor of its host, in thousandths of a core
      * @param isStopping whether it gives its shards up
      */
     public record DaemonRecord(
-            String name, String host, int port, long incarnation, boolean isStopping) {}
+            String name,
+            String host,
+            int port,
+            long incarnation,
+            int cpuMillis,
+            boolean isStopping) {
+        /** Returns a copy that says that the daemon gives its shards up. */
+        public DaemonRecord stopping() {
+            return new DaemonRecord(name, host, port, incarnation, cpuMillis, true);
+        }
+    }
 
     /**
      * The stored form of a shard's owner.
--- a/daemon/src/main/java/org/endivetray/daemon/job/own/Ownership.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/own/Ownership.java
@@ -142,9 +142,7 @@
 
     /** Tells the others that this daemon stops, so that they take its shards. */
     public void stop() {
-        mSelf =
-                new LiveView.DaemonRecord(
-                        mSelf.name(), mSelf.host(), mSelf.port(), mSelf.incarnation(), true);
+        mSelf = mSelf.stopping();
         mIsRegistered = false;
         mNextCallNanos = mCalls.nanoTime();
     }
--- a/daemon/src/test/java/org/endivetray/daemon/job/own/OwnershipTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/own/OwnershipTest.java
@@ -31,7 +31,8 @@
                             mStore,
                             mCalls,
                             watch,
-                            new LiveView.DaemonRecord(name, "127.0.0.1", 1, incarnation, false),
+                            new LiveView.DaemonRecord(
+                                    name, "127.0.0.1", 1, incarnation, 750, false),
                             SETTLE_MILLIS,
                             this);
             mOwnership.want(SHARDS);
--- a/policy/src/main/java/org/endivetray/policy/job/ShardAssignment.java
+++ b/policy/src/main/java/org/endivetray/policy/job/ShardAssignment.java
@@ -10,7 +10,7 @@
 import org.endivetray.policy.Rendezvous;
 
 /**
- * Spreads shards over daemons so that each owns about as many as the others.
+ * Spreads shards over daemons so that each owns about as many as its processor can carry.
  *
  * <p>Daemons that know the same owners choose alike; no choice moves a shard that has an owner.
  *
@@ -24,17 +24,16 @@
      *
      * @param free names of the shards without an owner, not null
      * @param owners owner by shard, not null
-     * @param daemons names of the live daemons, not null
+     * @param daemons processor of each live daemon by its name, in thousandths of a core, not null
      */
     public static Map<String, List<String>> candidates(
-            Collection<String> free, Map<String, String> owners, Collection<String> daemons) {
-        Map<String, Integer> counts = new HashMap<>();
-        daemons.forEach(daemon -> counts.put(daemon, 0));
-        owners.values().forEach(daemon -> counts.computeIfPresent(daemon, (d, n) -> n + 1));
+            Collection<String> free, Map<String, String> owners, Map<String, Integer> daemons) {
+        Map<String, Integer> counts = counts(owners, daemons);
         Map<String, List<String>> result = new HashMap<>();
         for (String shard : new TreeSet<>(free)) {
-            List<String> order = byRendezvous(shard, daemons);
-            order.sort(Comparator.comparingInt(counts::get));
+            List<String> order = byRendezvous(shard, daemons.keySet());
+            order.sort(
+                    Comparator.comparingDouble(daemon -> loadWithOneMore(daemon, counts, daemons)));
             result.put(shard, order);
             if (!order.isEmpty()) {
                 counts.merge(order.get(0), 1, Integer::sum);
@@ -43,6 +42,19 @@
         return result;
     }
 
+    private static Map<String, Integer> counts(
+            Map<String, String> owners, Map<String, Integer> daemons) {
+        Map<String, Integer> counts = new HashMap<>();
+        daemons.keySet().forEach(daemon -> counts.put(daemon, 0));
+        owners.values().forEach(daemon -> counts.computeIfPresent(daemon, (d, n) -> n + 1));
+        return counts;
+    }
+
+    private static double loadWithOneMore(
+            String daemon, Map<String, Integer> counts, Map<String, Integer> daemons) {
+        return (counts.get(daemon) + 1) / (double) Math.max(1, daemons.get(daemon));
+    }
+
     private static List<String> byRendezvous(String shard, Collection<String> daemons) {
         List<String> left = new ArrayList<>(daemons);
         List<String> order = new ArrayList<>();
@@ -55,18 +67,20 @@
     }
 
     /**
-     * Returns whether a daemon owns so many shards that it should give one up.
+     * Returns whether a daemon owns so many shards that another one would carry one more better.
      *
      * @param self the daemon, not null
      * @param owners owner by shard, not null
-     * @param daemons names of the live daemons, not null
+     * @param daemons processor of each live daemon by its name, in thousandths of a core, not null
      */
     public static boolean isOverloaded(
-            String self, Map<String, String> owners, Collection<String> daemons) {
-        Map<String, Integer> counts = new HashMap<>();
-        daemons.forEach(daemon -> counts.put(daemon, 0));
-        owners.values().forEach(daemon -> counts.computeIfPresent(daemon, (d, n) -> n + 1));
-        int fewest = counts.values().stream().mapToInt(n -> n).min().orElse(0);
-        return counts.getOrDefault(self, 0) >= fewest + 2;
+            String self, Map<String, String> owners, Map<String, Integer> daemons) {
+        Map<String, Integer> counts = counts(owners, daemons);
+        if (!daemons.containsKey(self)) {
+            return false;
+        }
+        double load = counts.get(self) / (double) Math.max(1, daemons.get(self));
+        return daemons.keySet().stream()
+                .anyMatch(daemon -> loadWithOneMore(daemon, counts, daemons) < load);
     }
 }
