Begin a wave with workers that run tasks that last, and measure how long an outage takes

Change: one in three workers under way is one with tasks that last while any are left; the mean time of an outage is learnt, from 4.5 s on. Tests: WaveOrderTest.

--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/PoolBalancer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/PoolBalancer.java
@@ -86,6 +86,12 @@
         return load != null && load.mReply.getEmptyMinions().contains(minion);
     }
 
+    /** Returns whether tasks that last run on a minion as far as is known. */
+    boolean isPinned(String pool, String minion) {
+        Load load = mLoads.get(pool);
+        return load != null && load.mReply.getPinnedMinions().contains(minion);
+    }
+
     /**
      * Does what is due.
      *
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/WaveRun.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/WaveRun.java
@@ -22,6 +22,7 @@
 import org.endivetray.platform.SharedStore.Write;
 import org.endivetray.platform.Versioned;
 import org.endivetray.platform.site.SiteCodec;
+import org.endivetray.policy.job.WaveOrder;
 import org.endivetray.policy.job.WaveSchedule;
 
 /**
@@ -43,8 +44,11 @@
     /** Time after which what still runs on a worker is moved. Several usual tasks. */
     private static final long PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
-    /** Time that a worker usually takes from the request to empty it until it is back. */
-    private static final long CYCLE_MILLIS = 5_500;
+    /** Time taken for one worker to be emptied and back while none is known. Upkeep and a task. */
+    private static final long FIRST_CYCLE_MILLIS = 4_500;
+
+    /** Weight of one more outage in the mean time that they take. */
+    private static final double CYCLE_WEIGHT = 0.2;
 
     /** Cost of emptying a worker on which something runs, in workers of its pool. */
     private static final double BUSY_COST = 2;
@@ -59,6 +63,7 @@
     private final Set<String> mDone = new TreeSet<>();
     private final Map<String, Outage> mOutages = new LinkedHashMap<>();
     private Map<String, WorkerInfo> mWorkers = Map.of();
+    private double mCycleMillis = FIRST_CYCLE_MILLIS;
     private long mVersion;
     private long mStartMillis;
     private long mNextNanos;
@@ -218,7 +223,7 @@
             return;
         }
         mWorkers = workers;
-        mOutages.values().removeIf(outage -> outage.isOver(workers, sentNanos));
+        removeEnded(sentNanos);
         mIsDirty |= isComplete();
         List<String> left = left();
         int wanted =
@@ -227,39 +232,48 @@
                         mWave.maxAtOnce(),
                         mContext.calls().currentTimeMillis() - mStartMillis,
                         mWave.durationMillis(),
-                        CYCLE_MILLIS);
-        Map<String, Integer> perPool = new HashMap<>();
-        mOutages.keySet().forEach(id -> perPool.merge(poolOf(id), 1, Integer::sum));
+                        Math.round(mCycleMillis));
         List<String> choices = new ArrayList<>(left);
         choices.removeAll(mOutages.keySet());
         choices.removeIf(id -> !workers.get(id).status().takesOrders());
         while (mOutages.size() < wanted && !choices.isEmpty()) {
-            String next = cheapest(choices, perPool);
-            choices.remove(next);
-            perPool.merge(poolOf(next), 1, Integer::sum);
-            mOutages.put(next, new Outage(next));
+            WaveOrder.Choice next = next(choices);
+            choices.remove(next.worker());
+            mOutages.put(next.worker(), new Outage(next.worker(), next.isPinned()));
         }
     }
 
-    /** Returns the worker whose outage costs least: an idle one, in a pool with little to do. */
-    private String cheapest(List<String> choices, Map<String, Integer> perPool) {
-        String best = null;
-        double bestCost = Double.POSITIVE_INFINITY;
-        for (String id : choices) {
-            WorkerInfo info = mWorkers.get(id);
-            boolean isIdle =
-                    !mContext.hasJobs().test(info.pool())
-                            || mBalancer.isIdle(info.pool(), info.minion());
-            double cost =
-                    (isIdle ? 0 : BUSY_COST)
-                            + mBalancer.pressure(info.pool())
-                            + perPool.getOrDefault(info.pool(), 0);
-            if (cost < bestCost) {
-                best = id;
-                bestCost = cost;
+    /** Forgets the outages that are over and learns how long they took. */
+    private void removeEnded(long sentNanos) {
+        for (Outage outage : List.copyOf(mOutages.values())) {
+            if (outage.isOver(mWorkers, sentNanos)) {
+                mOutages.remove(outage.mWorker);
+                long millis = TimeUnit.NANOSECONDS.toMillis(sentNanos - outage.mSinceNanos);
+                mCycleMillis += (millis - mCycleMillis) * CYCLE_WEIGHT;
             }
         }
-        return best;
+    }
+
+    private WaveOrder.Choice next(List<String> choices) {
+        Map<String, Integer> perPool = new HashMap<>();
+        mOutages.keySet().forEach(id -> perPool.merge(poolOf(id), 1, Integer::sum));
+        int pinned = (int) mOutages.values().stream().filter(outage -> outage.mWasPinned).count();
+        List<WaveOrder.Choice> costs =
+                choices.stream().map(id -> choice(mWorkers.get(id), perPool)).toList();
+        return WaveOrder.next(costs, mOutages.size(), pinned).orElseThrow();
+    }
+
+    /** Returns a worker with the cost of its outage; an idle one in a quiet pool costs least. */
+    private WaveOrder.Choice choice(WorkerInfo info, Map<String, Integer> perPool) {
+        boolean isIdle =
+                !mContext.hasJobs().test(info.pool())
+                        || mBalancer.isIdle(info.pool(), info.minion());
+        return new WaveOrder.Choice(
+                info.id(),
+                mBalancer.isPinned(info.pool(), info.minion()),
+                (isIdle ? 0 : BUSY_COST)
+                        + mBalancer.pressure(info.pool())
+                        + perPool.getOrDefault(info.pool(), 0));
     }
 
     private String poolOf(String worker) {
@@ -274,6 +288,7 @@
     /** One worker on its way into upkeep and back. */
     private final class Outage {
         private final String mWorker;
+        private final boolean mWasPinned;
         private final long mSinceNanos = mContext.calls().nanoTime();
         private String mMinion = "";
         private long mNextDrainNanos;
@@ -282,8 +297,9 @@
         private boolean mHasBegun;
         private boolean mWasSeenDown;
 
-        private Outage(String worker) {
+        private Outage(String worker, boolean wasPinned) {
             mWorker = worker;
+            mWasPinned = wasPinned;
         }
 
         private void tick(long nowNanos) {
--- /dev/null
+++ b/policy/src/test/java/org/endivetray/policy/job/WaveOrderTest.java
@@ -0,0 +1,41 @@
+package org.endivetray.policy.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Optional;
+import org.endivetray.policy.job.WaveOrder.Choice;
+import org.junit.jupiter.api.Test;
+
+class WaveOrderTest {
+    private static final Choice IDLE = new Choice("idle", false, 0.1);
+    private static final Choice BUSY = new Choice("busy", false, 2.4);
+    private static final Choice PINNED = new Choice("pinned", true, 2.2);
+
+    private static String next(List<Choice> choices, int underWay, int pinnedUnderWay) {
+        return WaveOrder.next(choices, underWay, pinnedUnderWay).map(Choice::worker).orElse("");
+    }
+
+    @Test
+    void aWorkerWithTasksThatLastIsBegunFirst() {
+        assertEquals("pinned", next(List.of(IDLE, BUSY, PINNED), 0, 0));
+    }
+
+    @Test
+    void besideItGoesTheWorkerWhoseOutageCostsLeast() {
+        assertEquals("idle", next(List.of(IDLE, BUSY, PINNED), 1, 1));
+        assertEquals("idle", next(List.of(IDLE, BUSY, PINNED), 2, 1));
+        assertEquals("pinned", next(List.of(IDLE, BUSY, PINNED), 3, 1));
+    }
+
+    @Test
+    void whatIsLeftIsTakenWhenThereIsNoneOfTheKindThatIsDue() {
+        assertEquals("idle", next(List.of(IDLE, BUSY), 0, 0));
+        assertEquals("pinned", next(List.of(PINNED), 1, 1));
+    }
+
+    @Test
+    void nothingIsChosenOfNothing() {
+        assertEquals(Optional.empty(), WaveOrder.next(List.of(), 0, 0));
+    }
+}
