--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -135,24 +135,26 @@
                         incarnation,
                         new InnerMessages(mRouter, innerJobs));
         mMetricsServer = new MetricsServer(mVertx, metrics);
-        LiveView.DaemonRecord self =
-                new LiveView.DaemonRecord(
-                        settings.name(),
-                        settings.host(),
-                        settings.innerPort(),
-                        incarnation,
-                        settings.cpuMillis(),
-                        false);
         mOwnership =
                 new Ownership(
                         mStore,
                         mCalls,
                         mLive,
-                        self,
+                        self(settings, incarnation),
                         settings.isBootstrap() ? BOOTSTRAP_SETTLE_MILLIS : RESTART_SETTLE_MILLIS,
                         mShards);
     }
 
+    private static LiveView.DaemonRecord self(JobSettings settings, long incarnation) {
+        return new LiveView.DaemonRecord(
+                settings.name(),
+                settings.host(),
+                settings.innerPort(),
+                incarnation,
+                settings.cpuMillis(),
+                false);
+    }
+
     private static Vertx newVertx() {
         return Vertx.vertx(
                 new VertxOptions()
