--- a/daemon/src/main/java/org/endivetray/daemon/job/front/JobMessages.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/front/JobMessages.java
@@ -1,9 +1,9 @@
 package org.endivetray.daemon.job.front;
 
 import java.nio.ByteBuffer;
+import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobState;
 import org.endivetray.job.QueueConfig;
-import org.endivetray.platform.site.JobAnswer;
 import org.endivetray.wire.gen.JobAction;
 import org.endivetray.wire.gen.JobReply;
 import org.endivetray.wire.gen.JobRequest;
--- a/daemon/src/main/java/org/endivetray/daemon/job/front/StoredJobs.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/front/StoredJobs.java
@@ -5,6 +5,7 @@
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.daemon.job.record.StoredJob;
 import org.endivetray.daemon.job.record.StoredProgress;
+import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobSpec;
 import org.endivetray.job.JobState;
 import org.endivetray.job.QueueConfig;
@@ -15,7 +16,6 @@
 import org.endivetray.platform.SharedStore.Condition;
 import org.endivetray.platform.SharedStore.Write;
 import org.endivetray.platform.Versioned;
-import org.endivetray.platform.site.JobAnswer;
 
 /**
  * Answers requests about jobs from the shared store, when their owner cannot be asked.
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobDesk.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobDesk.java
@@ -11,13 +11,13 @@
 import org.endivetray.daemon.job.ScheduledCalls;
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.daemon.job.record.StoredJob;
+import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobSpec;
 import org.endivetray.job.JobState;
 import org.endivetray.job.QueueConfig;
 import org.endivetray.platform.Codec;
 import org.endivetray.platform.SharedStore.CommitOutcome;
 import org.endivetray.platform.Versioned;
-import org.endivetray.platform.site.JobAnswer;
 
 /**
  * Takes jobs in, tells their state and cancels them.
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -10,12 +10,12 @@
 import java.util.function.Consumer;
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.daemon.job.record.StoredMinions;
+import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobSpec;
 import org.endivetray.job.MinionInfo;
 import org.endivetray.job.QueueConfig;
 import org.endivetray.platform.Codec;
 import org.endivetray.platform.SharedStore.Condition;
-import org.endivetray.platform.site.JobAnswer;
 import org.endivetray.policy.job.DurationModel;
 import org.endivetray.policy.job.PoolLoad;
 
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
@@ -7,12 +7,12 @@
 import org.endivetray.daemon.job.virtual.VirtualCalls;
 import org.endivetray.daemon.job.virtual.VirtualStore;
 import org.endivetray.daemon.observe.JobMetrics;
+import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobSpec;
 import org.endivetray.job.MinionInfo;
 import org.endivetray.job.QueueConfig;
 import org.endivetray.job.StepSpec;
 import org.endivetray.platform.SharedStore.Condition;
-import org.endivetray.platform.site.JobAnswer;
 import org.endivetray.policy.job.DurationModel;
 
 /**
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
@@ -7,12 +7,12 @@
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.daemon.job.record.StoredJob;
 import org.endivetray.daemon.job.virtual.VirtualStore;
+import org.endivetray.job.JobAnswer;
+import org.endivetray.job.JobAnswer.Verdict;
 import org.endivetray.job.JobState;
 import org.endivetray.job.StepSpec;
 import org.endivetray.job.TaskEnd;
 import org.endivetray.platform.Codec;
-import org.endivetray.platform.site.JobAnswer;
-import org.endivetray.platform.site.JobAnswer.Verdict;
 import org.junit.jupiter.api.Test;
 
 /**
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/TakeoverProperties.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/TakeoverProperties.java
@@ -13,11 +13,11 @@
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.constraints.LongRange;
 import org.endivetray.daemon.job.virtual.VirtualStore;
+import org.endivetray.job.JobAnswer;
+import org.endivetray.job.JobAnswer.Verdict;
 import org.endivetray.job.JobState;
 import org.endivetray.job.TaskEnd;
 import org.endivetray.job.TaskId;
-import org.endivetray.platform.site.JobAnswer;
-import org.endivetray.platform.site.JobAnswer.Verdict;
 
 /**
  * What holds however owners, minions and the store fail, explored at random with the product's
--- a/platform/src/main/java/org/endivetray/platform/site/JobAnswer.java
+++ b/model/src/main/java/org/endivetray/job/JobAnswer.java
@@ -1,6 +1,4 @@
-package org.endivetray.platform.site;
-
-import org.endivetray.job.JobState;
+package org.endivetray.job;
 
 /**
  * The answer to a caller's request about a job.
@@ -18,26 +16,15 @@
     /** What became of a request. */
     public enum Verdict {
         /** It was done. */
-        OK(200),
+        OK,
         /** It was not done and never will be. */
-        REFUSED(503),
+        REFUSED,
         /** It cannot be read; it was not done and never will be. */
-        MALFORMED(400),
+        MALFORMED,
         /** There is no such job. */
-        NO_SUCH_JOB(410),
+        NO_SUCH_JOB,
         /** It may have been done; the caller is to ask again with the same id. */
-        UNKNOWN(504);
-
-        private final int mStatus;
-
-        Verdict(int status) {
-            mStatus = status;
-        }
-
-        /** Returns the HTTP status that says so. */
-        public int status() {
-            return mStatus;
-        }
+        UNKNOWN
     }
 
     /** Returns an answer that says the request was done. */
