Bound the time that the lease of claims is waited for

That the call hung is inferred from the answers, which come from the timer beside it. Change: the call fails after 3 s, and the next request makes a new one. Test: ClaimsTest.aLeaseCallThatIsNeverAnswered..., red before, green now.

--- a/daemon/src/main/java/org/endivetray/daemon/request/Claims.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/Claims.java
@@ -42,6 +42,10 @@
             new EndivetrayException(
                     ResultCode.CLAIM_UNAVAILABLE, "the store did not answer by the deadline");
     private static final long LEASE_REUSE_NANOS = TimeUnit.HOURS.toNanos(1);
+
+    /** Longest time that a call for a lease is waited for, in milliseconds. A caller's patience. */
+    private static final long LEASE_CALL_MILLIS = 3_000;
+
     private static final int MAX_KEPT_BYTES = 32 * 1024;
 
     private final Vertx mVertx;
@@ -249,7 +253,12 @@
         long now = System.nanoTime();
         boolean old = now - mLeaseNanos > LEASE_REUSE_NANOS;
         if (mLease == null || mLease.failed() || old) {
-            mLease = mStore.createLease(mLeaseMillis);
+            Promise<String> lease = Promise.promise();
+            mStore.createLease(mLeaseMillis)
+                    .onSuccess(lease::tryComplete)
+                    .onFailure(lease::tryFail);
+            mVertx.setTimer(LEASE_CALL_MILLIS, ignored -> lease.tryFail(TOO_LATE));
+            mLease = lease.future();
             mLeaseNanos = now;
         }
         return mLease;
--- /dev/null
+++ b/daemon/src/test/java/org/endivetray/daemon/request/ClaimsTest.java
@@ -0,0 +1,94 @@
+package org.endivetray.daemon.request;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.endivetray.platform.Store;
+import org.endivetray.platform.Versioned;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class ClaimsTest {
+    private static final long PATIENCE_SECONDS = 30;
+    private static final long CALLER_MILLIS = 500;
+    private static final int LATER_CALLERS = 40;
+
+    private final Vertx mVertx = Vertx.vertx();
+
+    @AfterEach
+    void closeTheEventLoops() {
+        mVertx.close();
+    }
+
+    /** A store that never answers the first call for a lease and grants everything else. */
+    private static final class LeaseHangsOnce implements Store {
+        private final AtomicInteger mLeaseCalls = new AtomicInteger();
+
+        @Override
+        public Future<Versioned> read(String key) {
+            return Future.succeededFuture(Versioned.absent(key));
+        }
+
+        @Override
+        public Future<Range> list(String prefix) {
+            return Future.failedFuture("not used");
+        }
+
+        @Override
+        public Future<Long> write(String key, long expected, byte[] value, String lease) {
+            return Future.succeededFuture(1L);
+        }
+
+        @Override
+        public Future<Void> delete(String key, long expected) {
+            return Future.succeededFuture();
+        }
+
+        @Override
+        public Future<String> createLease(long ttlMillis) {
+            return mLeaseCalls.incrementAndGet() == 1
+                    ? Promise.<String>promise().future()
+                    : Future.succeededFuture("lease");
+        }
+
+        @Override
+        public Future<Void> renewLease(String lease) {
+            return Future.succeededFuture();
+        }
+
+        @Override
+        public Future<Void> endLease(String lease) {
+            return Future.succeededFuture();
+        }
+
+        @Override
+        public Future<Range> watch(String prefix, long afterRevision, long waitMillis) {
+            return Future.failedFuture("not used");
+        }
+    }
+
+    private static boolean isHeld(Claims claims, String key, long millis) throws Exception {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        return claims.claim(key, deadline)
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(PATIENCE_SECONDS, TimeUnit.SECONDS)
+                .isHeld();
+    }
+
+    @Test
+    void aLeaseCallThatIsNeverAnsweredHoldsUpOnlyTheRequestsOfItsTime() throws Exception {
+        Claims claims = new Claims(mVertx, new LeaseHangsOnce(), 1);
+        assertFalse(isHeld(claims, "first", CALLER_MILLIS));
+        boolean isLaterHeld = false;
+        for (int i = 0; i < LATER_CALLERS && !isLaterHeld; i++) {
+            isLaterHeld = isHeld(claims, "later" + i, CALLER_MILLIS);
+        }
+        assertTrue(isLaterHeld);
+    }
+}
