Keep workers whose order waits in the record of recent orders

Cause (found on reading the change again): a worker was dropped from the set to store once the time between two holders had passed since it asked, although its order still waited, as in a store outage of 3.7 s or more; its promise was never kept, the worker could not be moved any more, and the record was written again without end. And a worker that a write under way was about to drop was ordered at once, because the record before that write still had it. Ruled out: the condition on the owner's key (a replaced holder's write fails; tests as before). Change: what waits is always stored; once a write is sent, only workers that are in both records count as stored; the time of an order is that of its go-ahead. Tests: two more in OrderLogTest, both red before, green now.

--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/OrderLog.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/OrderLog.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.endivetray.EndivetrayException;
 import org.endivetray.daemon.job.ScheduledCalls;
 import org.endivetray.daemon.job.record.StoredOrders;
@@ -169,6 +170,9 @@
         mOrderedNanos.values().removeIf(nanos -> now - nanos >= mWaitNanos);
         Set<String> workers = new HashSet<>(mInherited);
         workers.addAll(mOrderedNanos.keySet());
+        workers.addAll(mWaiting.keySet());
+        // Whatever becomes of the write, only these are certainly in the record from now on.
+        mStored = mStored.stream().filter(workers::contains).collect(Collectors.toSet());
         Commit commit =
                 new Commit(
                         List.of(mOwner, new Condition(KEY, mVersion)),
@@ -199,6 +203,7 @@
         for (String worker : workers) {
             List<Promise<Void>> waiting = mWaiting.remove(worker);
             if (waiting != null) {
+                mOrderedNanos.put(worker, mCalls.nanoTime());
                 waiting.forEach(Promise::tryComplete);
             }
         }
--- a/daemon/src/test/java/org/endivetray/daemon/job/fleet/OrderLogTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/fleet/OrderLogTest.java
@@ -109,4 +109,32 @@
         mCalls.advance(WAIT_MILLIS);
         assertTrue(mayOrder(log, "w1"));
     }
+
+    @Test
+    void anOrderThatWaitedThroughALongOutageIsGivenAndThenNothingIsWrittenAnyMore() {
+        OrderLog log = holder("a");
+        mStore.mMode = VirtualStore.Mode.SILENT;
+        Future<Void> prepared = log.prepare("w1");
+        mCalls.advance(2 * WAIT_MILLIS);
+        mStore.mMode = VirtualStore.Mode.UP;
+        mCalls.advance(2_000);
+        assertTrue(prepared.succeeded());
+        assertEquals(Set.of("w1"), stored());
+        long version = mStore.get(OrderLog.KEY).version();
+        mCalls.advance(1_000);
+        assertEquals(version, mStore.get(OrderLog.KEY).version());
+    }
+
+    @Test
+    void aWorkerThatIsBeingForgottenIsStoredAgainBeforeItsNextOrder() {
+        OrderLog log = holder("a");
+        assertTrue(mayOrder(log, "w1"));
+        mCalls.advance(WAIT_MILLIS);
+        log.prepare("w2");
+        Future<Void> again = log.prepare("w1");
+        assertFalse(again.isComplete());
+        mCalls.advance(50);
+        assertTrue(again.succeeded());
+        assertEquals(Set.of("w1", "w2"), stored());
+    }
 }
