Count a job as pending until a minion has confirmed a start, and bound the age of relayed counts

A job was marked as running when its first start order was sent, so an order that no minion carried out took the job out of the count for good. And a router whose owner did not answer returned the last count and recorded it again as new, so a count had no bound on its age. Change: a job is running once a start is answered, listed or ended.

--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/JobRouter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/JobRouter.java
@@ -4,8 +4,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.Locale;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.OptionalInt;
 import java.util.function.Supplier;
 import org.endivetray.EndivetrayException;
 import org.endivetray.daemon.job.ownership.OwnershipView;
@@ -47,7 +46,7 @@
     private final StoreFallback mFallback;
     private final JobMetrics mMetrics;
     private final String mName;
-    private final Map<String, Integer> mLastPending = new ConcurrentHashMap<>();
+    private final PendingCounts mPendingCounts = new PendingCounts();
     private volatile boolean mIsReady;
     private volatile boolean mIsStopping;
 
@@ -138,21 +137,22 @@
 
     @Override
     public Future<JobAnswer> pending(QueueConfig queue) {
-        return route(JobAction.PENDING, queue, "", new byte[0], () -> lastPending(queue))
-                .onSuccess(
-                        answer -> {
-                            if (answer.pending() >= 0) {
-                                mLastPending.put(queue.name(), answer.pending());
-                            }
-                        });
+        return route(JobAction.PENDING, queue, "", new byte[0], () -> lastPending(queue));
+    }
+
+    /** Records the count in an owner's reply; a count that was recorded before is not renewed. */
+    private void recordPending(QueueConfig queue, OwnerReply ownerReply) {
+        if (ownerReply.answer() != null && ownerReply.answer().pending() >= 0) {
+            mPendingCounts.put(queue.name(), ownerReply.answer().pending(), System.nanoTime());
+        }
     }
 
     private Future<JobAnswer> lastPending(QueueConfig queue) {
-        Integer last = mLastPending.get(queue.name());
+        OptionalInt last = mPendingCounts.recent(queue.name(), System.nanoTime());
         return Future.succeededFuture(
-                last == null
-                        ? JobAnswer.refused(RETRY_AFTER_MILLIS, "the owner does not answer")
-                        : JobAnswer.ofPending(last));
+                last.isPresent()
+                        ? JobAnswer.ofPending(last.getAsInt())
+                        : JobAnswer.refused(RETRY_AFTER_MILLIS, "the owner does not answer"));
     }
 
     private Future<JobAnswer> route(
@@ -164,6 +164,7 @@
         long start = System.nanoTime();
         JobRequest request = JobMessages.request(action, queue, id, body, true);
         return askOwner(request)
+                .onSuccess(ownerReply -> recordPending(queue, ownerReply))
                 .compose(ownerReply -> complete(action, ownerReply, fallback))
                 .onSuccess(answer -> log(action, queue, id, answer, start));
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionMonitor.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionMonitor.java
@@ -315,8 +315,7 @@
 
     private void confirm(TaskEntry task, RunningTask running) {
         if (task.mPhase == TaskPhase.STARTING) {
-            task.mPhase = TaskPhase.RUNNING;
-            task.mAckedNanos = mContext.executor().nanoTime();
+            mLifecycle.confirmStart(task, mContext.executor().nanoTime());
         }
         task.mStartUnansweredNanos = 0;
         task.mSharePercent = running.percent();
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskLifecycle.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskLifecycle.java
@@ -84,11 +84,6 @@
                         ticket,
                         minion.extendLease(mContext.limits().maxLeaseMillis(), now),
                         mState.mToken);
-        if (!job.hasStarted()) {
-            job.mState = JobState.RUNNING;
-            job.mStoredState = JobState.RUNNING;
-            mContext.metrics().onFirstStart(now - job.mAcceptedNanos);
-        }
         mContext.executor()
                 .onComplete(
                         mContext.minions().start(minion.info(), order),
@@ -113,16 +108,16 @@
             mOnFenced.run();
             return;
         }
+        if (outcome == OrderOutcome.DONE) {
+            markStarted(task.mStep.mJob, now);
+        }
         boolean isCurrent = task.mMinion == minion && task.mRun == run;
         if (!isCurrent) {
             return;
         }
         if (outcome == OrderOutcome.DONE) {
-            task.mAckedNanos = now;
             task.mStartUnansweredNanos = 0;
-            if (task.mPhase == TaskPhase.STARTING) {
-                task.mPhase = TaskPhase.RUNNING;
-            }
+            confirmStart(task, now);
         } else if (outcome == OrderOutcome.UNKNOWN) {
             task.mStartUnansweredNanos = now;
         } else {
@@ -130,6 +125,27 @@
         }
     }
 
+    /** Records that the minion has confirmed the current run of a task. */
+    void confirmStart(TaskEntry task, long nowNanos) {
+        task.mAckedNanos = nowNanos;
+        if (task.mPhase == TaskPhase.STARTING) {
+            task.mPhase = TaskPhase.RUNNING;
+            markStarted(task.mStep.mJob, nowNanos);
+        }
+    }
+
+    /**
+     * Marks a job as running. An order that no minion has confirmed may never be carried out, so it
+     * leaves the job queued.
+     */
+    private void markStarted(JobEntry job, long nowNanos) {
+        if (!job.hasStarted()) {
+            job.mState = JobState.RUNNING;
+            job.mStoredState = JobState.RUNNING;
+            mContext.metrics().onFirstStart(nowNanos - job.mAcceptedNanos);
+        }
+    }
+
     private void onStartRefused(
             TaskEntry task, MinionSession minion, OrderOutcome outcome, long now) {
         release(task);
@@ -227,11 +243,7 @@
         task.mAckedNanos = task.mStartSentNanos;
         task.mStopAcked = false;
         minion.assign(task);
-        JobEntry job = task.mStep.mJob;
-        if (!job.hasStarted()) {
-            job.mState = JobState.RUNNING;
-            job.mStoredState = JobState.RUNNING;
-        }
+        markStarted(task.mStep.mJob, task.mStartSentNanos);
     }
 
     /**
@@ -273,6 +285,7 @@
             return;
         }
         long now = mContext.executor().nanoTime();
+        markStarted(task.mStep.mJob, now);
         boolean isCurrent = task.mMinion == minion && task.mRun == ended.run();
         long workedNanos = now - task.mAckedNanos;
         if (isCurrent) {
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
@@ -300,4 +300,36 @@
         }
         assertThat(mHarness.mMinions.minion("m2").mRuns).hasSize(1);
     }
+
+    @Test
+    void aJobWhoseStartOrderWasNotCarriedOutIsQueuedAndPending() {
+        mHarness.mMinions.mBehaviour =
+                (task, run) -> new VirtualMinions.Outcome(60_000, TaskEnd.DONE);
+        Shard shard = startWith("m1");
+        mHarness.mMinions.minion("m1").mIsUnreachable = true;
+        mHarness.submit(shard, 1, ShardHarness.step(1));
+        mHarness.run(2_000, shard);
+        assertThat(mHarness.mMinions.mStarts).isEmpty();
+        assertThat(shard.pending(ShardHarness.QUEUE.name()).result().pending()).isEqualTo(1);
+        assertThat(stateOf(shard, 1)).isEqualTo(JobState.QUEUED);
+        mHarness.mMinions.minion("m1").mIsUnreachable = false;
+        mHarness.run(3_000, shard);
+        assertThat(shard.pending(ShardHarness.QUEUE.name()).result().pending()).isZero();
+        assertThat(stateOf(shard, 1)).isEqualTo(JobState.RUNNING);
+    }
+
+    @Test
+    void aJobWhoseStartWasNotAnsweredIsRunningOnceItsEndIsListed() {
+        mHarness.mMinions.mBehaviour = (task, run) -> new VirtualMinions.Outcome(50, TaskEnd.DONE);
+        Shard shard = startWith("m1");
+        mHarness.mMinions.minion("m1").mOrderDelayMillis = 200;
+        mHarness.submit(shard, 1, ShardHarness.step(1), ShardHarness.step(1, 0));
+        mHarness.run(100, shard);
+        assertThat(stateOf(shard, 1)).isEqualTo(JobState.QUEUED);
+        mHarness.run(2_000, shard);
+        mHarness.mMinions.minion("m1").mOrderDelayMillis = 0;
+        mHarness.run(900, shard);
+        assertThat(shard.pending(ShardHarness.QUEUE.name()).result().pending()).isZero();
+        assertThat(stateOf(shard, 1)).isNotEqualTo(JobState.QUEUED);
+    }
 }
