Continue a wave at once under a new fleet owner, and release the fleet shard last

Change: a new owner counts the workers in the stored record of recent orders, and those listed as in maintenance, as down, leaves them alone until the handover time has passed and goes on with the others. The fleet shard is released last.

--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -235,7 +235,7 @@
         }
         Set<String> wanted = new TreeSet<>(Set.of(FleetManager.SHARD));
         config.queues().forEach(queue -> wanted.add(queue.pool()));
-        mOwnership.setWantedShards(wanted);
+        mOwnership.setWantedShards(wanted, FleetManager.SHARD);
     }
 
     private void onMinions() {
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetManager.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetManager.java
@@ -18,8 +18,8 @@
  * Carries out maintenance waves and moves workers between pools while this daemon is the fleet
  * owner, which is the only daemon that gives orders to workers.
  *
- * <p>A new fleet owner gives no orders to workers that the previous owner may have ordered, and
- * starts no maintenance, until orders of the two can no longer overlap.
+ * <p>A new fleet owner gives no orders to workers that the previous owner has recently ordered
+ * until orders of the two can no longer overlap.
  *
  * <p>Invariants: orders are given only while this daemon owns the fleet shard, and carry its
  * fencing token.
@@ -44,7 +44,6 @@
     private Condition mOwner;
     private RecentOrders mOrders;
     private PoolBalancer mBalancer;
-    private long mMaintenanceFromNanos;
     private long mListedNanos;
     private boolean mIsListing;
 
@@ -75,8 +74,6 @@
         mOrders.start();
         mBalancer = new PoolBalancer(mContext, mSite, owner, mOrders);
         mWaves.clear();
-        mMaintenanceFromNanos =
-                mContext.executor().nanoTime() + TimeUnit.MILLISECONDS.toNanos(handoverMillis);
     }
 
     /** Called when this daemon is no longer the fleet owner. */
@@ -151,8 +148,6 @@
         Map<String, WorkerInfo> byId = new HashMap<>();
         workers.forEach(worker -> byId.put(worker.id(), worker));
         mBalancer.onWorkers(workers);
-        if (sentNanos - mMaintenanceFromNanos >= 0) {
-            mWaves.values().forEach(wave -> wave.onWorkers(byId, sentNanos));
-        }
+        mWaves.values().forEach(wave -> wave.onWorkers(byId, sentNanos));
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/RecentOrders.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/RecentOrders.java
@@ -100,6 +100,19 @@
         return mIsLoaded && !mIsStopped && (!mInherited.contains(worker) || isHandoverComplete());
     }
 
+    /** Returns whether the record that the previous owner has left is known. */
+    boolean isLoaded() {
+        return mIsLoaded;
+    }
+
+    /**
+     * Returns the workers for which orders of the previous owner may still take effect, empty once
+     * the handover time has passed.
+     */
+    Set<String> withheldWorkers() {
+        return isHandoverComplete() ? Set.of() : Set.copyOf(mInherited);
+    }
+
     private boolean isHandoverComplete() {
         return mExecutor.nanoTime() - mStartNanos >= mHandoverNanos;
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/WaveExecutor.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/WaveExecutor.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,7 +21,6 @@
 import org.endivetray.platform.SharedStore.Condition;
 import org.endivetray.platform.SharedStore.Write;
 import org.endivetray.platform.VersionedValue;
-import org.endivetray.platform.WorkerAdmin.WorkerOrderOutcome;
 import org.endivetray.platform.site.SiteCodec;
 import org.endivetray.policy.job.WaveOrder;
 import org.endivetray.policy.job.WaveSchedule;
@@ -29,25 +29,20 @@
  * Carries out one maintenance wave: drains its workers, puts them into maintenance and records
  * which are done.
  *
- * <p>Invariants: no more workers of the wave are down than it allows, counting those whose order
- * was not answered; the wave is reported as completed only once every worker that is still listed
- * has started its maintenance and that is stored.
+ * <p>A new fleet owner counts the workers that the previous one has recently ordered as down and
+ * leaves them alone until its orders can no longer take effect; it continues with the others at
+ * once.
+ *
+ * <p>Invariants: no more workers of the wave are in an outage than may be down at the same time, so
+ * a worker whose order was not answered keeps its place; the wave is reported as completed only
+ * once every worker that is still listed has started its maintenance and that is stored.
  *
  * <p>This class is not thread-safe; it belongs to the scheduler's thread.
  */
-final class WaveExecutor {
+final class WaveExecutor implements WorkerOutage.Listener {
     private static final Logger LOGGER = System.getLogger(WaveExecutor.class.getName());
     private static final String KEY_PREFIX = "endivetray/fleet/wave/";
 
-    /** Time between requests to drain a worker. */
-    private static final long DRAIN_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
-
-    /**
-     * Time after which a drain becomes urgent, so that tasks that are not long-running are stopped;
-     * several times the duration of a usual task.
-     */
-    private static final long URGENT_DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
-
     /** Initial estimate of the duration of an outage: the maintenance and one task. */
     private static final long INITIAL_OUTAGE_MILLIS = 4_500;
 
@@ -67,7 +62,7 @@
     private final PoolBalancer mBalancer;
     private final RecentOrders mOrders;
     private final Set<String> mDone = new TreeSet<>();
-    private final Map<String, Outage> mOutages = new LinkedHashMap<>();
+    private final Map<String, WorkerOutage> mOutages = new LinkedHashMap<>();
     private Map<String, WorkerInfo> mWorkers = Map.of();
     private double mMeanOutageMillis = INITIAL_OUTAGE_MILLIS;
     private long mVersion;
@@ -118,7 +113,8 @@
             }
         }
         if (mIsLoaded) {
-            mOutages.values().forEach(outage -> outage.tick(nowNanos));
+            mOutages.values()
+                    .forEach(outage -> outage.tick(mWorkers.get(outage.worker()), nowNanos));
         }
     }
 
@@ -225,13 +221,14 @@
      * @param sentNanos time of the monotonic clock at which the list was requested, in nanoseconds
      */
     void onWorkers(Map<String, WorkerInfo> workers, long sentNanos) {
-        if (!isActive() || mIsStopped) {
+        if (!isActive() || mIsStopped || !mOrders.isLoaded()) {
             return;
         }
         mWorkers = workers;
         removeEnded(sentNanos);
         mIsDirty |= isComplete();
         List<String> left = remaining();
+        Set<String> inherited = inheritedOutages();
         int targetCount =
                 WaveSchedule.targetConcurrency(
                         left.size(),
@@ -241,20 +238,48 @@
                         Math.round(mMeanOutageMillis));
         List<String> candidates = new ArrayList<>(left);
         candidates.removeAll(mOutages.keySet());
+        candidates.removeAll(inherited);
         candidates.removeIf(id -> !workers.get(id).status().acceptsOrders());
-        while (mOutages.size() < targetCount && !candidates.isEmpty()) {
+        int limit = Math.min(targetCount, mWave.maxAtOnce() - inherited.size());
+        while (mOutages.size() < limit && !candidates.isEmpty()) {
             WaveOrder.Candidate next = next(candidates);
             candidates.remove(next.worker());
-            mOutages.put(next.worker(), new Outage(next.worker(), next.isPinned()));
+            mOutages.put(
+                    next.worker(),
+                    new WorkerOutage(
+                            mContext,
+                            new WorkerOutage.Order(next.worker(), mWave.number(), mOwner.version()),
+                            next.isPinned(),
+                            mOrders,
+                            this));
         }
     }
 
+    /**
+     * Returns the workers that an order of the previous owner has taken down or may still take
+     * down.
+     */
+    private Set<String> inheritedOutages() {
+        Set<String> withheld = mOrders.withheldWorkers();
+        Set<String> inherited = new HashSet<>();
+        for (String worker : mWave.workers()) {
+            WorkerInfo info = mWorkers.get(worker);
+            boolean isInMaintenance =
+                    info != null && info.status() == WorkerInfo.WorkerStatus.IN_UPKEEP;
+            boolean isOwn = mOutages.containsKey(worker);
+            if (!isOwn && (isInMaintenance || withheld.contains(worker))) {
+                inherited.add(worker);
+            }
+        }
+        return inherited;
+    }
+
     /** Removes the outages that are over and adds their durations to the moving average. */
     private void removeEnded(long sentNanos) {
-        for (Outage outage : List.copyOf(mOutages.values())) {
-            if (outage.isOver(mWorkers, sentNanos)) {
-                mOutages.remove(outage.mWorker);
-                long millis = TimeUnit.NANOSECONDS.toMillis(sentNanos - outage.mStartNanos);
+        for (WorkerOutage outage : List.copyOf(mOutages.values())) {
+            if (outage.isOver(mWorkers.get(outage.worker()), sentNanos)) {
+                mOutages.remove(outage.worker());
+                long millis = outage.elapsedMillis(sentNanos);
                 mMeanOutageMillis += (millis - mMeanOutageMillis) * OUTAGE_SMOOTHING;
             }
         }
@@ -263,7 +288,7 @@
     private WaveOrder.Candidate next(List<String> candidates) {
         Map<String, Integer> perPool = new HashMap<>();
         mOutages.keySet().forEach(id -> perPool.merge(poolOf(id), 1, Integer::sum));
-        int pinned = (int) mOutages.values().stream().filter(outage -> outage.mWasPinned).count();
+        int pinned = (int) mOutages.values().stream().filter(WorkerOutage::wasPinned).count();
         List<WaveOrder.Candidate> rated =
                 candidates.stream().map(id -> toCandidate(mWorkers.get(id), perPool)).toList();
         return WaveOrder.next(rated, mOutages.size(), pinned).orElseThrow();
@@ -290,128 +315,14 @@
         return info == null ? "" : info.pool();
     }
 
-    /** Returns the number of workers that are down for the wave or may be. */
-    private long downCount() {
-        return mOutages.values().stream().filter(outage -> outage.mOrderedNanos != 0).count();
+    @Override
+    public boolean isStopped() {
+        return mIsStopped;
     }
 
-    /**
-     * The planned outage of one worker, from the first drain request until the worker is up again.
-     */
-    private final class Outage {
-        private final String mWorker;
-        private final boolean mWasPinned;
-        private final long mStartNanos = mContext.executor().nanoTime();
-        private String mMinion = "";
-        private long mNextDrainNanos;
-
-        /** Time of the latest maintenance order, 0 if there is none or it was refused. */
-        private long mOrderedNanos;
-
-        private boolean mIsRequestInFlight;
-        private boolean mIsOrderDone;
-        private boolean mWasSeenDown;
-
-        private Outage(String worker, boolean wasPinned) {
-            mWorker = worker;
-            mWasPinned = wasPinned;
-        }
-
-        private void tick(long nowNanos) {
-            boolean isDue = nowNanos - mNextDrainNanos >= 0;
-            if (mIsRequestInFlight || mIsOrderDone || !isDue || mIsStopped) {
-                return;
-            }
-            mNextDrainNanos = nowNanos + DRAIN_INTERVAL_NANOS;
-            WorkerInfo info = mWorkers.get(mWorker);
-            if (info == null || !info.status().acceptsOrders()) {
-                return;
-            }
-            mMinion = info.minion();
-            mIsRequestInFlight = true;
-            if (!mContext.hasJobs().test(info.pool())) {
-                recordOrder();
-                return;
-            }
-            boolean isUrgent = nowNanos - mStartNanos >= URGENT_DRAIN_NANOS;
-            mContext.executor()
-                    .onComplete(
-                            mContext.owners().drain(info.pool(), mMinion, isUrgent),
-                            (reply, cause) -> {
-                                mIsRequestInFlight = false;
-                                if (cause == null && reply.isIsEmpty() && !mIsStopped) {
-                                    recordOrder();
-                                }
-                            });
-        }
-
-        private void recordOrder() {
-            mIsRequestInFlight = true;
-            mContext.executor()
-                    .onComplete(
-                            mOrders.recordOrder(mWorker),
-                            (ignored, cause) -> {
-                                mIsRequestInFlight = false;
-                                if (cause == null && !mIsStopped) {
-                                    order();
-                                }
-                            });
-        }
-
-        private void order() {
-            boolean isFull = mOrderedNanos == 0 && downCount() >= mWave.maxAtOnce();
-            if (isFull || !mContext.isLeaseValid().getAsBoolean()) {
-                return;
-            }
-            mOrderedNanos = mContext.executor().nanoTime();
-            mIsRequestInFlight = true;
-            mContext.executor()
-                    .onComplete(
-                            mContext.workerAdmin()
-                                    .startMaintenance(
-                                            mWorker,
-                                            mWave.number(),
-                                            mContext.name(),
-                                            mOwner.version()),
-                            (outcome, cause) -> onOutcome(outcome));
-        }
-
-        private void onOutcome(WorkerOrderOutcome outcome) {
-            mIsRequestInFlight = false;
-            LOGGER.log(
-                    Level.INFO,
-                    "wave: maintenance wave={0} worker={1} minion={2} outcome={3} waited={4}ms",
-                    Long.toString(mWave.number()),
-                    mWorker,
-                    mMinion,
-                    outcome,
-                    Long.toString(
-                            TimeUnit.NANOSECONDS.toMillis(
-                                    mContext.executor().nanoTime() - mStartNanos)));
-            switch (outcome) {
-                case DONE -> {
-                    mIsOrderDone = true;
-                    mContext.owners().notifyMinionTerminated(poolOf(mWorker), mMinion);
-                    mDone.add(mWorker);
-                    mIsDirty = true;
-                }
-                case UNKNOWN -> {
-                    // The worker counts as down until a repeated order has a definite outcome.
-                }
-                default -> mOrderedNanos = 0;
-            }
-        }
-
-        /** Returns whether the worker is up again after its maintenance or is no longer listed. */
-        private boolean isOver(Map<String, WorkerInfo> workers, long sentNanos) {
-            WorkerInfo info = workers.get(mWorker);
-            if (info == null) {
-                return true;
-            }
-            boolean isLater = mIsOrderDone && sentNanos - mOrderedNanos > 0;
-            boolean isUp = info.status().acceptsOrders();
-            mWasSeenDown |= isLater && !isUp;
-            return isLater && isUp && (mWasSeenDown || !info.minion().equals(mMinion));
-        }
+    @Override
+    public void onMaintenanceStarted(String worker) {
+        mDone.add(worker);
+        mIsDirty = true;
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipManager.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipManager.java
@@ -77,6 +77,7 @@
     private final Set<Long> mUsedTokens = new HashSet<>();
 
     private Set<String> mWanted = Set.of();
+    private String mLastReleased = "";
     private OwnershipView.DaemonRecord mSelf;
     private long mLease = SharedStore.NO_LEASE;
     private boolean mIsRegistered;
@@ -127,9 +128,16 @@
         mListener = listener;
     }
 
-    /** Sets the shards that should have an owner. */
-    public void setWantedShards(Set<String> shards) {
+    /**
+     * Sets the shards that should have an owner.
+     *
+     * @param shards names of the shards, not null
+     * @param lastReleased one of them, whose work pauses when its owner changes, so that it is
+     *     released only if this daemon is overloaded by it alone; not null
+     */
+    public void setWantedShards(Set<String> shards, String lastReleased) {
         mWanted = new TreeSet<>(shards);
+        mLastReleased = lastReleased;
     }
 
     /**
@@ -395,7 +403,7 @@
             mOverloadedNanos = nowNanos;
         } else if (nowNanos - mOverloadedNanos >= REBALANCE_DELAY_NANOS && mReleasing.isEmpty()) {
             mOverloadedNanos = nowNanos;
-            new TreeSet<>(mTokens.keySet()).stream().findFirst().ifPresent(this::release);
+            ShardAssignment.releasedFirst(mTokens.keySet(), mLastReleased).ifPresent(this::release);
         }
     }
 
--- a/daemon/src/test/java/org/endivetray/daemon/job/ownership/OwnershipManagerTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/ownership/OwnershipManagerTest.java
@@ -12,6 +12,7 @@
 
 class OwnershipManagerTest {
     private static final Set<String> SHARDS = Set.of("charts", "ice");
+    private static final String LAST_RELEASED = "charts";
     private static final long SETTLE_MILLIS = 400;
     private static final long TICK_MILLIS = 10;
 
@@ -35,7 +36,7 @@
                                     name, "127.0.0.1", 1, incarnation, 750, false),
                             SETTLE_MILLIS,
                             this);
-            mOwnership.setWantedShards(SHARDS);
+            mOwnership.setWantedShards(SHARDS, LAST_RELEASED);
             watch.start();
             mExecutor.execute(this::tick);
         }
@@ -93,4 +94,14 @@
         mExecutor.advance(4 * SETTLE_MILLIS);
         assertEquals(Map.of(), other.mTokens);
     }
+
+    @Test
+    void anOverloadedDaemonKeepsTheShardWhoseWorkPausesWhenItsOwnerChanges() {
+        SimulatedDaemon first = new SimulatedDaemon("a", 1);
+        mExecutor.advance(2 * SETTLE_MILLIS);
+        SimulatedDaemon other = new SimulatedDaemon("b", 2);
+        mExecutor.advance(8_000);
+        assertEquals(Set.of(LAST_RELEASED), first.mTokens.keySet());
+        assertEquals(Set.of("ice"), other.mTokens.keySet());
+    }
 }
--- a/policy/src/main/java/org/endivetray/policy/job/ShardAssignment.java
+++ b/policy/src/main/java/org/endivetray/policy/job/ShardAssignment.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeSet;
 import org.endivetray.policy.RendezvousHash;
 
@@ -67,6 +68,19 @@
         return order;
     }
 
+    /**
+     * Returns the shard that an overloaded daemon releases first, empty if it owns none.
+     *
+     * @param owned names of the shards that it owns, not null
+     * @param last name of the shard to release last, not null
+     */
+    public static Optional<String> releasedFirst(Collection<String> owned, String last) {
+        return owned.stream()
+                .min(
+                        Comparator.comparing((String shard) -> shard.equals(last))
+                                .thenComparing(Comparator.naturalOrder()));
+    }
+
     /**
      * Returns whether another daemon with one more shard would be less loaded than this daemon is
      * now.
