Add releasable minions and store calls to the protocol between daemons

Change: LoadReply gets an optional list, which an earlier daemon leaves out; StoreCall and StoreReply are new.

--- a/wire/src/gen-java/org/endivetray/wire/gen/Body.java
+++ b/wire/src/gen-java/org/endivetray/wire/gen/Body.java
@@ -23,6 +23,8 @@
   private static final org.apache.thrift.protocol.TField LOAD_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("loadRequest", org.apache.thrift.protocol.TType.STRUCT, (short)12);
   private static final org.apache.thrift.protocol.TField LOAD_REPLY_FIELD_DESC = new org.apache.thrift.protocol.TField("loadReply", org.apache.thrift.protocol.TType.STRUCT, (short)13);
   private static final org.apache.thrift.protocol.TField MINION_GONE_FIELD_DESC = new org.apache.thrift.protocol.TField("minionGone", org.apache.thrift.protocol.TType.STRUCT, (short)14);
+  private static final org.apache.thrift.protocol.TField STORE_CALL_FIELD_DESC = new org.apache.thrift.protocol.TField("storeCall", org.apache.thrift.protocol.TType.STRUCT, (short)15);
+  private static final org.apache.thrift.protocol.TField STORE_REPLY_FIELD_DESC = new org.apache.thrift.protocol.TField("storeReply", org.apache.thrift.protocol.TType.STRUCT, (short)16);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -39,7 +41,9 @@
     DRAIN_REPLY((short)11, "drainReply"),
     LOAD_REQUEST((short)12, "loadRequest"),
     LOAD_REPLY((short)13, "loadReply"),
-    MINION_GONE((short)14, "minionGone");
+    MINION_GONE((short)14, "minionGone"),
+    STORE_CALL((short)15, "storeCall"),
+    STORE_REPLY((short)16, "storeReply");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -83,6 +87,10 @@
           return LOAD_REPLY;
         case 14: // MINION_GONE
           return MINION_GONE;
+        case 15: // STORE_CALL
+          return STORE_CALL;
+        case 16: // STORE_REPLY
+          return STORE_REPLY;
         default:
           return null;
       }
@@ -156,6 +164,10 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LoadReply.class)));
     tmpMap.put(_Fields.MINION_GONE, new org.apache.thrift.meta_data.FieldMetaData("minionGone", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, MinionGone.class)));
+    tmpMap.put(_Fields.STORE_CALL, new org.apache.thrift.meta_data.FieldMetaData("storeCall", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, StoreCall.class)));
+    tmpMap.put(_Fields.STORE_REPLY, new org.apache.thrift.meta_data.FieldMetaData("storeReply", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, StoreReply.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Body.class, metaDataMap);
   }
@@ -260,6 +272,18 @@
     return x;
   }
 
+  public static Body storeCall(StoreCall value) {
+    Body x = new Body();
+    x.setStoreCall(value);
+    return x;
+  }
+
+  public static Body storeReply(StoreReply value) {
+    Body x = new Body();
+    x.setStoreReply(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -334,6 +358,16 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type MinionGone for field 'minionGone', but got " + value.getClass().getSimpleName());
+      case STORE_CALL:
+        if (value instanceof StoreCall) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type StoreCall for field 'storeCall', but got " + value.getClass().getSimpleName());
+      case STORE_REPLY:
+        if (value instanceof StoreReply) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type StoreReply for field 'storeReply', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -483,6 +517,26 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case STORE_CALL:
+          if (field.type == STORE_CALL_FIELD_DESC.type) {
+            StoreCall storeCall;
+            storeCall = new StoreCall();
+            storeCall.read(iprot);
+            return storeCall;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case STORE_REPLY:
+          if (field.type == STORE_REPLY_FIELD_DESC.type) {
+            StoreReply storeReply;
+            storeReply = new StoreReply();
+            storeReply.read(iprot);
+            return storeReply;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -551,6 +605,14 @@
         MinionGone minionGone = (MinionGone)value_;
         minionGone.write(oprot);
         return;
+      case STORE_CALL:
+        StoreCall storeCall = (StoreCall)value_;
+        storeCall.write(oprot);
+        return;
+      case STORE_REPLY:
+        StoreReply storeReply = (StoreReply)value_;
+        storeReply.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -630,6 +692,16 @@
           minionGone = new MinionGone();
           minionGone.read(iprot);
           return minionGone;
+        case STORE_CALL:
+          StoreCall storeCall;
+          storeCall = new StoreCall();
+          storeCall.read(iprot);
+          return storeCall;
+        case STORE_REPLY:
+          StoreReply storeReply;
+          storeReply = new StoreReply();
+          storeReply.read(iprot);
+          return storeReply;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -697,6 +769,14 @@
         MinionGone minionGone = (MinionGone)value_;
         minionGone.write(oprot);
         return;
+      case STORE_CALL:
+        StoreCall storeCall = (StoreCall)value_;
+        storeCall.write(oprot);
+        return;
+      case STORE_REPLY:
+        StoreReply storeReply = (StoreReply)value_;
+        storeReply.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -733,6 +813,10 @@
         return LOAD_REPLY_FIELD_DESC;
       case MINION_GONE:
         return MINION_GONE_FIELD_DESC;
+      case STORE_CALL:
+        return STORE_CALL_FIELD_DESC;
+      case STORE_REPLY:
+        return STORE_REPLY_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -937,6 +1021,32 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.MINION_GONE");
   }
 
+  public StoreCall getStoreCall() {
+    if (getSetField() == _Fields.STORE_CALL) {
+      return (StoreCall)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'storeCall' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setStoreCall(StoreCall value) {
+    setField_ = _Fields.STORE_CALL;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.STORE_CALL");
+  }
+
+  public StoreReply getStoreReply() {
+    if (getSetField() == _Fields.STORE_REPLY) {
+      return (StoreReply)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'storeReply' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setStoreReply(StoreReply value) {
+    setField_ = _Fields.STORE_REPLY;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.STORE_REPLY");
+  }
+
   public boolean isSetHeartbeat() {
     return setField_ == _Fields.HEARTBEAT;
   }
@@ -1007,6 +1117,16 @@
   }
 
 
+  public boolean isSetStoreCall() {
+    return setField_ == _Fields.STORE_CALL;
+  }
+
+
+  public boolean isSetStoreReply() {
+    return setField_ == _Fields.STORE_REPLY;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof Body) {
       return equals((Body)other);
--- a/wire/src/main/thrift/inner.thrift
+++ b/wire/src/main/thrift/inner.thrift
@@ -144,6 +144,61 @@
   5: required list<string> emptyMinions
   6: required list<string> pinnedMinions
   7: required i32 wantedMinions
+  8: optional list<string> releasableMinions
+}
+
+/** The operation that a store call asks for. */
+enum StoreOperation {
+  READ = 1
+  LIST = 2
+  WATCH = 3
+  COMMIT = 4
+  CREATE_LEASE = 5
+  RENEW_LEASE = 6
+  END_LEASE = 7
+}
+
+/** A condition that a key has a version, or the value of a key at a version. */
+struct StoreItem {
+  1: required string key
+  2: required i64 version
+  3: optional binary value
+}
+
+/** A write of a key under a lease, 0 if none. */
+struct StoreWrite {
+  1: required string key
+  2: required binary value
+  3: required i64 lease
+}
+
+/** A call of the shared store that a peer makes for a daemon that does not reach the store. */
+struct StoreCall {
+  1: required StoreOperation operation
+  2: required string key
+  3: required i64 number
+  4: required i64 waitMillis
+  5: required bool mayBeStale
+  6: required list<StoreItem> conditions
+  7: required list<StoreWrite> writes
+  8: required list<string> removals
+}
+
+/** What became of a store call; NOT_REACHED means that nothing was done. */
+enum StoreStatus {
+  DONE = 1
+  CONFLICT = 2
+  NO_SUCH_LEASE = 3
+  HISTORY_LOST = 4
+  NOT_REACHED = 5
+  UNKNOWN = 6
+}
+
+/** Replies to a store call. */
+struct StoreReply {
+  1: required StoreStatus status
+  2: required i64 number
+  3: required list<StoreItem> items
 }
 
 union Body {
@@ -161,6 +216,8 @@
   12: LoadRequest loadRequest
   13: LoadReply loadReply
   14: MinionGone minionGone
+  15: StoreCall storeCall
+  16: StoreReply storeReply
 }
 
 /** One framed message. */
