Drain busy workers of a pool with too many for a pool with too few

Change: the owner of a pool's shard reports the minions that run only tasks that end by themselves, the soonest empty first. RebalancePolicy.plan also returns drains: as many of these as the pool has workers beyond its need and as other pools lack. A drain expires after 0.9 s unless it is repeated. WorkerMove is in use.

--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetManager.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetManager.java
@@ -147,7 +147,7 @@
     private void onWorkers(List<WorkerInfo> workers, long sentNanos) {
         Map<String, WorkerInfo> byId = new HashMap<>();
         workers.forEach(worker -> byId.put(worker.id(), worker));
-        mBalancer.onWorkers(workers);
+        mBalancer.onWorkers(workers, sentNanos);
         mWaves.values().forEach(wave -> wave.onWorkers(byId, sentNanos));
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/PoolBalancer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/PoolBalancer.java
@@ -1,12 +1,10 @@
 package org.endivetray.daemon.job.fleet;
 
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.endivetray.daemon.job.ownership.SiteWatch;
@@ -14,7 +12,6 @@
 import org.endivetray.job.SiteConfig;
 import org.endivetray.job.WorkerInfo;
 import org.endivetray.platform.SharedStore.Condition;
-import org.endivetray.platform.WorkerAdmin.WorkerOrderOutcome;
 import org.endivetray.policy.job.DemandForecast;
 import org.endivetray.policy.job.RebalancePolicy;
 import org.endivetray.wire.gen.LoadReply;
@@ -23,14 +20,12 @@
  * Moves idle workers to the pools that need more.
  *
  * <p>Invariants: a worker of a pool with jobs is moved only after the owner of the pool's shard has
- * confirmed that nothing runs on it and nothing will be started; at most one order per worker is in
+ * confirmed that nothing runs on it and nothing will be started; at most one move per worker is in
  * progress.
  *
  * <p>This class is not thread-safe; it belongs to the scheduler's thread.
  */
-final class PoolBalancer {
-    private static final Logger LOGGER = System.getLogger(PoolBalancer.class.getName());
-
+final class PoolBalancer implements WorkerMove.Listener {
     /**
      * Time between requests for the pools' load, short compared with the time that a move takes.
      */
@@ -39,9 +34,6 @@
     /** Time after which a reported load is too old to be used. */
     private static final long LOAD_VALID_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
-    /** Delay before an order that was not answered is repeated. */
-    private static final long RETRY_MILLIS = 200;
-
     /** Least time between two moves of a worker, since it does no work while it moves. */
     private static final long MOVE_COOLDOWN_NANOS = TimeUnit.MILLISECONDS.toNanos(4_000);
 
@@ -56,7 +48,7 @@
     private final RecentOrders mOrders;
     private final Map<String, Load> mLoads = new HashMap<>();
     private final Map<String, Long> mMovedNanos = new HashMap<>();
-    private final Set<String> mMoving = new HashSet<>();
+    private final Map<String, WorkerMove> mMoves = new HashMap<>();
     private List<WorkerInfo> mWorkers = List.of();
     private long mNextLoadNanos;
     private boolean mIsStopped;
@@ -72,8 +64,14 @@
         mIsStopped = true;
     }
 
-    void onWorkers(List<WorkerInfo> workers) {
+    void onWorkers(List<WorkerInfo> workers, long sentNanos) {
         mWorkers = workers;
+        Map<String, WorkerInfo> moving = new HashMap<>();
+        workers.stream()
+                .filter(worker -> mMoves.containsKey(worker.id()))
+                .forEach(worker -> moving.put(worker.id(), worker));
+        List.copyOf(mMoves.values())
+                .forEach(move -> move.onListed(moving.get(move.worker()), sentNanos));
     }
 
     /**
@@ -116,7 +114,9 @@
                 requestPoolLoad(pool.name());
             }
         }
-        RebalancePolicy.moves(states(config, nowNanos, reserved)).forEach(this::begin);
+        RebalancePolicy.Plan plan = RebalancePolicy.plan(states(config, nowNanos, reserved));
+        plan.moves().forEach(this::begin);
+        plan.drains().forEach(this::drain);
     }
 
     private void requestPoolLoad(String pool) {
@@ -156,6 +156,7 @@
             long nowNanos,
             Set<String> reserved) {
         List<String> idle = new ArrayList<>();
+        Map<String, String> movable = new HashMap<>();
         int count = 0;
         int cpu = 1;
         for (WorkerInfo worker : workers) {
@@ -164,109 +165,81 @@
                             && !reserved.contains(worker.id());
             count += isAvailable ? 1 : 0;
             cpu = Math.max(cpu, worker.cpuMillis());
-            boolean isIdle =
-                    pool.standby() || load.mReply.getEmptyMinions().contains(worker.minion());
             boolean isCooledDown =
                     nowNanos - mMovedNanos.getOrDefault(worker.id(), nowNanos - MOVE_COOLDOWN_NANOS)
                             >= MOVE_COOLDOWN_NANOS;
-            if (worker.status().acceptsOrders()
-                    && isIdle
-                    && isCooledDown
-                    && !mMoving.contains(worker.id())
-                    && mOrders.mayOrder(worker.id())
-                    && !reserved.contains(worker.id())) {
+            boolean isMovable =
+                    worker.status().acceptsOrders()
+                            && isCooledDown
+                            && !mMoves.containsKey(worker.id())
+                            && mOrders.mayOrder(worker.id())
+                            && !reserved.contains(worker.id());
+            if (isMovable) {
+                movable.put(worker.minion(), worker.id());
+            }
+            if (isMovable && (pool.standby() || load.isEmpty(worker.minion()))) {
                 idle.add(worker.id());
             }
         }
+        List<String> releasable =
+                load == null
+                        ? List.of()
+                        : load.releasableMinions().stream()
+                                .filter(movable::containsKey)
+                                .map(movable::get)
+                                .toList();
         return new RebalancePolicy.PoolState(
                 pool.name(),
                 pool.standby(),
                 count,
                 load == null ? 0 : load.pinnedWorkers(),
                 idle,
+                releasable,
                 load == null ? 0 : load.mForecast.demandAfter(MOVE_LEAD_MILLIS),
                 cpu);
     }
 
     private void begin(RebalancePolicy.Move move) {
-        WorkerInfo worker =
-                mWorkers.stream()
-                        .filter(info -> info.id().equals(move.worker()))
-                        .findFirst()
-                        .orElse(null);
-        if (worker != null && mMoving.add(move.worker())) {
-            drainMinion(move, worker.minion());
-        }
+        minionOn(move.worker()).ifPresent(minion -> begin(move, minion));
     }
 
-    /** Moves a worker once its minion is empty; gives the move up if it is not empty yet. */
-    private void drainMinion(RebalancePolicy.Move move, String minion) {
-        if (!mContext.hasJobs().test(move.from())) {
-            recordOrder(move, minion);
-            return;
-        }
-        mContext.executor()
-                .onComplete(
-                        mContext.owners().drain(move.from(), minion, false),
-                        (reply, cause) -> {
-                            if (cause == null && reply.isIsEmpty() && !mIsStopped) {
-                                recordOrder(move, minion);
-                            } else {
-                                mMoving.remove(move.worker());
-                            }
-                        });
+    /** Drains a worker for a short time; the request is repeated while the worker is wanted. */
+    private void drain(RebalancePolicy.Drain drain) {
+        minionOn(drain.worker())
+                .ifPresent(minion -> mContext.owners().drain(drain.pool(), minion, false));
     }
 
-    private void recordOrder(RebalancePolicy.Move move, String minion) {
-        mContext.executor()
-                .onComplete(
-                        mOrders.recordOrder(move.worker()),
-                        (ignored, cause) -> {
-                            if (cause == null && !mIsStopped) {
-                                order(move, minion);
-                            } else {
-                                mMoving.remove(move.worker());
-                            }
-                        });
+    private Optional<String> minionOn(String worker) {
+        return mWorkers.stream()
+                .filter(info -> info.id().equals(worker))
+                .findFirst()
+                .map(WorkerInfo::minion);
     }
 
-    private void order(RebalancePolicy.Move move, String minion) {
-        if (!mContext.isLeaseValid().getAsBoolean()) {
-            mMoving.remove(move.worker());
-            return;
+    private void begin(RebalancePolicy.Move move, String minion) {
+        if (!mMoves.containsKey(move.worker())) {
+            WorkerMove started = new WorkerMove(mContext, move, minion, mOwner, mOrders, this);
+            mMoves.put(move.worker(), started);
+            started.start();
         }
-        long orderedNanos = mContext.executor().nanoTime();
-        mContext.executor()
-                .onComplete(
-                        mContext.workerAdmin()
-                                .move(move.worker(), move.to(), mContext.name(), mOwner.version()),
-                        (outcome, cause) -> onOutcome(move, minion, outcome, orderedNanos));
     }
 
-    private void onOutcome(
-            RebalancePolicy.Move move,
-            String minion,
-            WorkerOrderOutcome outcome,
-            long orderedNanos) {
-        LOGGER.log(
-                Level.INFO,
-                "fleet: move worker={0} from={1} to={2} outcome={3}",
-                move.worker(),
-                move.from(),
-                move.to(),
-                outcome);
+    @Override
+    public boolean isStopped() {
+        return mIsStopped;
+    }
+
+    @Override
+    public void onOrdered(RebalancePolicy.Move move, long orderedNanos) {
         mMovedNanos.put(move.worker(), orderedNanos);
-        if (outcome == WorkerOrderOutcome.UNKNOWN && !mIsStopped) {
-            // The order may still be carried out, so the minion is drained again and the order
-            // repeated.
-            mContext.executor().schedule(RETRY_MILLIS, () -> drainMinion(move, minion));
-            return;
-        }
-        if (outcome == WorkerOrderOutcome.DONE) {
-            mContext.owners().notifyMinionTerminated(move.from(), minion);
+    }
+
+    @Override
+    public void onEnded(RebalancePolicy.Move move, boolean isMoved) {
+        mMoves.remove(move.worker());
+        if (isMoved) {
             applyToWorkers(move);
         }
-        mMoving.remove(move.worker());
     }
 
     /** Counts a worker in its new pool until the workers are listed again. */
@@ -293,6 +266,14 @@
         private LoadReply mReply;
         private long mUpdatedNanos;
 
+        private boolean isEmpty(String minion) {
+            return mReply.getEmptyMinions().contains(minion);
+        }
+
+        private List<String> releasableMinions() {
+            return mReply.isSetReleasableMinions() ? mReply.getReleasableMinions() : List.of();
+        }
+
         private int pinnedWorkers() {
             return mReply.getPinnedMinionsSize() + mReply.getWantedMinions();
         }
--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/PoolRequestHandler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/PoolRequestHandler.java
@@ -69,13 +69,14 @@
 
     private static LoadReply toReply(PoolLoad load) {
         return new LoadReply(
-                true,
-                load.waitingCpuMillis(),
-                load.usedCpuMillis(),
-                load.totalCpuMillis(),
-                load.emptyMinions(),
-                load.pinnedMinions(),
-                load.wantedMinions());
+                        true,
+                        load.waitingCpuMillis(),
+                        load.usedCpuMillis(),
+                        load.totalCpuMillis(),
+                        load.emptyMinions(),
+                        load.pinnedMinions(),
+                        load.wantedMinions())
+                .setReleasableMinions(load.releasableMinions());
     }
 
     /**
