Remove expired workers from the stored record of recent orders

The record was rewritten only with the next order. Change: it is rewritten once the handover time has passed.

--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/RecentOrders.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/RecentOrders.java
@@ -46,6 +46,9 @@
     /** Delay before a failed read or write of the record is retried. */
     private static final long RETRY_MILLIS = 200;
 
+    /** Time after the expiry of an order in which the record is rewritten. */
+    private static final long PRUNE_DELAY_MILLIS = 100;
+
     private final SharedStore mStore;
     private final SchedulerExecutor mExecutor;
     private final Condition mOwner;
@@ -62,6 +65,7 @@
     private boolean mIsLoaded;
     private boolean mIsCalling;
     private boolean mIsStopped;
+    private boolean mIsPruningScheduled;
 
     /**
      * Constructs a record that has not been read yet.
@@ -178,6 +182,7 @@
                 Level.INFO,
                 "fleet: read order record of the previous owner workers={0}",
                 Integer.toString(mInherited.size()));
+        schedulePruning();
     }
 
     /**
@@ -185,7 +190,7 @@
      * those that the previous owner has left in the record.
      */
     private void store() {
-        if (mIsCalling || mIsStopped || mPending.isEmpty()) {
+        if (mIsCalling || mIsStopped || mPending.isEmpty() && !hasExpired()) {
             return;
         }
         mIsCalling = true;
@@ -212,6 +217,28 @@
         mExecutor.onComplete(mStore.commit(commit), (result, cause) -> onResult(workers, result));
     }
 
+    /** Returns whether the stored record has workers that may be removed from it. */
+    private boolean hasExpired() {
+        long now = mExecutor.nanoTime();
+        return isHandoverComplete()
+                && mStored.stream()
+                        .map(mOrderedNanos::get)
+                        .anyMatch(nanos -> nanos == null || now - nanos >= mHandoverNanos);
+    }
+
+    /** Removes expired workers from the record, so that a new owner can order them at once. */
+    private void schedulePruning() {
+        if (!mIsPruningScheduled && !mIsStopped) {
+            mIsPruningScheduled = true;
+            mExecutor.schedule(
+                    TimeUnit.NANOSECONDS.toMillis(mHandoverNanos) + PRUNE_DELAY_MILLIS,
+                    () -> {
+                        mIsPruningScheduled = false;
+                        store();
+                    });
+        }
+    }
+
     private void onResult(Set<String> workers, CommitResult result) {
         mIsCalling = false;
         if (mIsStopped) {
@@ -227,6 +254,9 @@
         }
         mVersion = result.revision();
         mStored = workers;
+        if (!workers.isEmpty()) {
+            schedulePruning();
+        }
         for (String worker : workers) {
             List<Promise<Void>> waiting = mPending.remove(worker);
             if (waiting != null) {
--- a/daemon/src/test/java/org/endivetray/daemon/job/fleet/RecentOrdersTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/fleet/RecentOrdersTest.java
@@ -140,4 +140,13 @@
         assertTrue(again.succeeded());
         assertEquals(Set.of("w1", "w2"), stored());
     }
+
+    @Test
+    void anExpiredOrderIsRemovedFromTheRecordAlthoughNoOtherOrderFollows() {
+        RecentOrders orders = newOwner("a");
+        assertTrue(tryRecordOrder(orders, "w1"));
+        mExecutor.advance(2 * HANDOVER_MILLIS);
+        assertEquals(Set.of(), stored());
+        assertTrue(tryRecordOrder(newOwner("b"), "w1"));
+    }
 }
