--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ownership/DaemonLease.java
@@ -0,0 +1,204 @@
+package org.endivetray.daemon.job.ownership;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.endivetray.daemon.job.SchedulerExecutor;
+import org.endivetray.daemon.job.record.JobKeys;
+import org.endivetray.platform.RecordCodec;
+import org.endivetray.platform.SharedStore;
+import org.endivetray.platform.SharedStore.Commit;
+import org.endivetray.platform.SharedStore.CommitOutcome;
+import org.endivetray.platform.SharedStore.Write;
+
+/**
+ * Keeps the lease under which this daemon is registered in the shared store.
+ *
+ * <p>Invariants: the lease is reported as valid only while it has certainly not expired, also if
+ * the host was suspended or its wall clock was set meanwhile.
+ *
+ * <p>This class is not thread-safe; it belongs to the scheduler's thread.
+ */
+final class DaemonLease {
+    private static final Logger LOGGER = System.getLogger(DaemonLease.class.getName());
+
+    /** Time to live, which bounds the time that a daemon's shards have no owner after a crash. */
+    private static final long LEASE_MILLIS = 2_500;
+
+    /**
+     * Subtracted from the lease for the transit time of an order; covers several slow round trips.
+     */
+    private static final long MARGIN_MILLIS = 600;
+
+    /** Time between renewals, about a quarter of the lease. */
+    private static final long RENEW_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
+    private final SharedStore mStore;
+    private final SchedulerExecutor mExecutor;
+    private final Runnable mOnLost;
+    private OwnershipView.DaemonRecord mSelf;
+    private long mId = SharedStore.NO_LEASE;
+    private boolean mIsRegistered;
+    private boolean mIsCalling;
+    private long mNextCallNanos;
+    private long mRegisteredNanos;
+    private long mRenewedNanos;
+    private long mRenewedMillis;
+
+    /**
+     * Constructs a lease that has not been created in the store.
+     *
+     * @param store the shared store, not null
+     * @param executor runs results on the scheduler's thread, not null
+     * @param self this daemon, not null
+     * @param onLost called when the lease has ended, not null
+     */
+    DaemonLease(
+            SharedStore store,
+            SchedulerExecutor executor,
+            OwnershipView.DaemonRecord self,
+            Runnable onLost) {
+        mStore = store;
+        mExecutor = executor;
+        mSelf = self;
+        mOnLost = onLost;
+    }
+
+    /** Returns the lease's id, {@link SharedStore#NO_LEASE} if there is none. */
+    long id() {
+        return mId;
+    }
+
+    /** Returns whether this daemon is registered under the lease. */
+    boolean isRegistered() {
+        return mIsRegistered;
+    }
+
+    /** Returns the time of the monotonic clock of the latest registration, in nanoseconds. */
+    long registeredNanos() {
+        return mRegisteredNanos;
+    }
+
+    /** Returns whether this daemon has announced that it stops. */
+    boolean isStopping() {
+        return mSelf.isStopping();
+    }
+
+    /** Registers this daemon as stopping. */
+    void announceStop() {
+        mSelf = mSelf.stopping();
+        mIsRegistered = false;
+        mNextCallNanos = mExecutor.nanoTime();
+    }
+
+    /**
+     * Returns whether the lease has certainly not expired.
+     *
+     * <p>The monotonic clock stops while a host is suspended and the wall clock may jump, so both
+     * must show that the lease is valid.
+     */
+    boolean isValid() {
+        long monotonic = TimeUnit.NANOSECONDS.toMillis(mExecutor.nanoTime() - mRenewedNanos);
+        long wallClock = mExecutor.currentTimeMillis() - mRenewedMillis;
+        return mIsRegistered
+                && monotonic < LEASE_MILLIS - MARGIN_MILLIS
+                && wallClock < LEASE_MILLIS - MARGIN_MILLIS
+                && wallClock >= monotonic - MARGIN_MILLIS;
+    }
+
+    /**
+     * Creates, registers or renews the lease, when due.
+     *
+     * @param nowNanos time of the monotonic clock, in nanoseconds
+     */
+    void tick(long nowNanos) {
+        if (mIsCalling || nowNanos - mNextCallNanos < 0) {
+            return;
+        }
+        if (mId == SharedStore.NO_LEASE) {
+            create();
+        } else if (!mIsRegistered) {
+            register();
+        } else {
+            renew();
+        }
+    }
+
+    private void create() {
+        mIsCalling = true;
+        long sentNanos = mExecutor.nanoTime();
+        long sentMillis = mExecutor.currentTimeMillis();
+        mExecutor.onComplete(
+                mStore.createLease(LEASE_MILLIS),
+                (lease, cause) -> {
+                    mIsCalling = false;
+                    if (cause == null) {
+                        mId = lease;
+                        onRenewed(sentNanos, sentMillis);
+                        mNextCallNanos = mExecutor.nanoTime();
+                    } else {
+                        scheduleRetry("lease creation", cause.getMessage());
+                    }
+                });
+    }
+
+    private void register() {
+        mIsCalling = true;
+        Write write =
+                new Write(JobKeys.DAEMON_PREFIX + mSelf.name(), RecordCodec.encode(mSelf), mId);
+        mExecutor.onComplete(
+                mStore.commit(new Commit(List.of(), List.of(write), List.of())),
+                (result, cause) -> {
+                    mIsCalling = false;
+                    if (result.isDone()) {
+                        LOGGER.log(Level.INFO, "shard: daemon registered name={0}", mSelf.name());
+                        mIsRegistered = true;
+                        mRegisteredNanos = mExecutor.nanoTime();
+                        mNextCallNanos = mRegisteredNanos + RENEW_INTERVAL_NANOS;
+                    } else if (result.outcome() == CommitOutcome.NO_SUCH_LEASE) {
+                        onLost();
+                    } else {
+                        scheduleRetry("registration", result.outcome().name());
+                    }
+                });
+    }
+
+    private void renew() {
+        mIsCalling = true;
+        long sentNanos = mExecutor.nanoTime();
+        long sentMillis = mExecutor.currentTimeMillis();
+        mExecutor.onComplete(
+                mStore.renewLease(mId),
+                (exists, cause) -> {
+                    mIsCalling = false;
+                    if (cause != null) {
+                        scheduleRetry("lease renewal", cause.getMessage());
+                    } else if (exists) {
+                        onRenewed(sentNanos, sentMillis);
+                        mNextCallNanos = mExecutor.nanoTime() + RENEW_INTERVAL_NANOS;
+                    } else {
+                        onLost();
+                    }
+                });
+    }
+
+    private void onRenewed(long sentNanos, long sentMillis) {
+        mRenewedNanos = sentNanos;
+        mRenewedMillis = sentMillis;
+    }
+
+    private void scheduleRetry(String what, String reason) {
+        LOGGER.log(Level.INFO, "shard: {0} failed reason={1}", what, reason);
+        mNextCallNanos = mExecutor.nanoTime() + RENEW_INTERVAL_NANOS / 2;
+    }
+
+    /** Called when the store has answered that the lease does not exist. */
+    void onLost() {
+        LOGGER.log(Level.WARNING, "shard: daemon lease lost lease={0}", Long.toString(mId));
+        mId = SharedStore.NO_LEASE;
+        mIsRegistered = false;
+        mNextCallNanos = mExecutor.nanoTime();
+        mOnLost.run();
+    }
+}
--- a/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipManager.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipManager.java
@@ -35,20 +35,6 @@
 public final class OwnershipManager {
     private static final Logger LOGGER = System.getLogger(OwnershipManager.class.getName());
 
-    /**
-     * Time to live of the daemon's lease, which bounds the time that its shards have no owner after
-     * a crash.
-     */
-    private static final long LEASE_MILLIS = 2_500;
-
-    /**
-     * Subtracted from the lease for the transit time of an order; covers several slow round trips.
-     */
-    private static final long LEASE_MARGIN_MILLIS = 600;
-
-    /** Time between lease renewals, about a quarter of the lease. */
-    private static final long RENEW_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
-
     /**
      * Time after which the next candidate claims a shard that the candidate before it has not
      * claimed.
@@ -78,15 +64,9 @@
 
     private Set<String> mWanted = Set.of();
     private String mLastReleased = "";
-    private OwnershipView.DaemonRecord mSelf;
-    private long mLease = SharedStore.NO_LEASE;
-    private boolean mIsRegistered;
-    private boolean mIsCalling;
-    private long mNextCallNanos;
-    private long mRegisteredNanos;
+    private final OwnershipView.DaemonRecord mSelf;
+    private final DaemonLease mLease;
     private long mOverloadedNanos;
-    private long mRenewedNanos;
-    private long mRenewedMillis;
 
     /** Receives a call when a shard is acquired, lost or to be released. */
     public interface Listener {
@@ -124,6 +104,7 @@
         mExecutor = executor;
         mWatch = watch;
         mSelf = self;
+        mLease = new DaemonLease(store, executor, self, this::onLeaseLost);
         mSettleNanos = TimeUnit.MILLISECONDS.toNanos(settleMillis);
         mListener = listener;
     }
@@ -143,22 +124,9 @@
     /**
      * Returns whether this daemon's lease has certainly not expired, so that no other daemon can
      * own its shards.
-     *
-     * <p>The monotonic clock stops while a host is suspended and the wall clock may jump, so both
-     * must show that the lease is valid.
      */
     public boolean isLeaseValid() {
-        long monotonic = TimeUnit.NANOSECONDS.toMillis(mExecutor.nanoTime() - mRenewedNanos);
-        long wallClock = mExecutor.currentTimeMillis() - mRenewedMillis;
-        return mIsRegistered
-                && monotonic < LEASE_MILLIS - LEASE_MARGIN_MILLIS
-                && wallClock < LEASE_MILLIS - LEASE_MARGIN_MILLIS
-                && wallClock >= monotonic - LEASE_MARGIN_MILLIS;
-    }
-
-    private void onRenewed(long sentNanos, long sentMillis) {
-        mRenewedNanos = sentNanos;
-        mRenewedMillis = sentMillis;
+        return mLease.isValid();
     }
 
     /** Returns the shards that this daemon owns. */
@@ -168,9 +136,7 @@
 
     /** Announces that this daemon is stopping, so that other daemons claim its shards. */
     public void stop() {
-        mSelf = mSelf.stopping();
-        mIsRegistered = false;
-        mNextCallNanos = mExecutor.nanoTime();
+        mLease.announceStop();
     }
 
     /**
@@ -180,94 +146,19 @@
      * @param nowNanos time of the monotonic clock, in nanoseconds
      */
     public void tick(long nowNanos) {
-        if (!mIsCalling && nowNanos - mNextCallNanos >= 0) {
-            if (mLease == SharedStore.NO_LEASE) {
-                createLease();
-            } else if (!mIsRegistered) {
-                register();
-            } else {
-                renew();
-            }
-        }
+        mLease.tick(nowNanos);
         reconcile();
-        if (mIsRegistered && !mSelf.isStopping()) {
-            reclaim();
+        if (!mLease.isRegistered() || mLease.isStopping()) {
+            return;
         }
-        boolean isSettled = mIsRegistered && nowNanos - mRegisteredNanos >= mSettleNanos;
-        if (isSettled && !mSelf.isStopping()) {
+        reclaim();
+        if (nowNanos - mLease.registeredNanos() >= mSettleNanos) {
             claimFree(nowNanos);
             rebalance(nowNanos);
         }
     }
 
-    private void createLease() {
-        mIsCalling = true;
-        long sentNanos = mExecutor.nanoTime();
-        long sentMillis = mExecutor.currentTimeMillis();
-        mExecutor.onComplete(
-                mStore.createLease(LEASE_MILLIS),
-                (lease, cause) -> {
-                    mIsCalling = false;
-                    if (cause == null) {
-                        mLease = lease;
-                        onRenewed(sentNanos, sentMillis);
-                        mNextCallNanos = mExecutor.nanoTime();
-                    } else {
-                        scheduleRetry("lease creation", cause.getMessage());
-                    }
-                });
-    }
-
-    private void register() {
-        mIsCalling = true;
-        Write write =
-                new Write(JobKeys.DAEMON_PREFIX + mSelf.name(), RecordCodec.encode(mSelf), mLease);
-        mExecutor.onComplete(
-                mStore.commit(new Commit(List.of(), List.of(write), List.of())),
-                (result, cause) -> {
-                    mIsCalling = false;
-                    if (result.isDone()) {
-                        LOGGER.log(Level.INFO, "shard: daemon registered name={0}", mSelf.name());
-                        mIsRegistered = true;
-                        mRegisteredNanos = mExecutor.nanoTime();
-                        mNextCallNanos = mRegisteredNanos + RENEW_INTERVAL_NANOS;
-                    } else if (result.outcome() == CommitOutcome.NO_SUCH_LEASE) {
-                        onLeaseLost();
-                    } else {
-                        scheduleRetry("registration", result.outcome().name());
-                    }
-                });
-    }
-
-    private void renew() {
-        mIsCalling = true;
-        long sentNanos = mExecutor.nanoTime();
-        long sentMillis = mExecutor.currentTimeMillis();
-        mExecutor.onComplete(
-                mStore.renewLease(mLease),
-                (exists, cause) -> {
-                    mIsCalling = false;
-                    if (cause != null) {
-                        scheduleRetry("lease renewal", cause.getMessage());
-                    } else if (exists) {
-                        onRenewed(sentNanos, sentMillis);
-                        mNextCallNanos = mExecutor.nanoTime() + RENEW_INTERVAL_NANOS;
-                    } else {
-                        onLeaseLost();
-                    }
-                });
-    }
-
-    private void scheduleRetry(String what, String reason) {
-        LOGGER.log(Level.INFO, "shard: {0} failed reason={1}", what, reason);
-        mNextCallNanos = mExecutor.nanoTime() + RENEW_INTERVAL_NANOS / 2;
-    }
-
     private void onLeaseLost() {
-        LOGGER.log(Level.WARNING, "shard: daemon lease lost lease={0}", Long.toString(mLease));
-        mLease = SharedStore.NO_LEASE;
-        mIsRegistered = false;
-        mNextCallNanos = mExecutor.nanoTime();
         for (String shard : List.copyOf(mTokens.keySet())) {
             drop(shard, "lease lost");
         }
@@ -308,7 +199,7 @@
         if (mClaiming.contains(shard) || mReleasing.contains(shard)) {
             return;
         }
-        if (mWanted.contains(shard) && !mSelf.isStopping() && mUsedTokens.add(token)) {
+        if (mWanted.contains(shard) && !mLease.isStopping() && mUsedTokens.add(token)) {
             onClaimed(shard, token);
         } else {
             removeKey(shard, token);
@@ -366,7 +257,7 @@
         Commit commit =
                 new Commit(
                         List.of(new Condition(key, version)),
-                        List.of(new Write(key, value, mLease)),
+                        List.of(new Write(key, value, mLease.id())),
                         List.of());
         mExecutor.onComplete(
                 mStore.commit(commit),
@@ -375,7 +266,7 @@
                     if (result.isDone()) {
                         onClaimed(shard, result.revision());
                     } else if (result.outcome() == CommitOutcome.NO_SUCH_LEASE) {
-                        onLeaseLost();
+                        mLease.onLost();
                     }
                 });
     }
