Call the store through a peer while it does not answer this daemon

A takeover then waits up to 1 s for minions that do not answer. Change: RelayingStore makes a call directly, or through a peer after a call without an answer or two refusals; direct watches are given up then, and one call in 0.5 s probes the direct path. A peer never passes a call on. A commit that may have been made is reported as unknown, not as in conflict with itself. A new owner waits 0.15 s for minions in place of 1 s; tasks that may run on a minion without an answer still wait for its lease. Result: RelayingStoreTest (7).

--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -16,10 +16,13 @@
 import org.endivetray.daemon.job.ownership.OwnershipView;
 import org.endivetray.daemon.job.ownership.OwnershipWatch;
 import org.endivetray.daemon.job.ownership.SiteWatch;
+import org.endivetray.daemon.job.peer.Peers;
+import org.endivetray.daemon.job.relay.RelayingStore;
+import org.endivetray.daemon.job.relay.StoreCallHandler;
+import org.endivetray.daemon.job.relay.StorePeers;
 import org.endivetray.daemon.job.routing.JobRouter;
 import org.endivetray.daemon.job.routing.LocalShards;
 import org.endivetray.daemon.job.routing.PeerMessageHandler;
-import org.endivetray.daemon.job.routing.Peers;
 import org.endivetray.daemon.job.routing.PoolOwnerClient;
 import org.endivetray.daemon.job.routing.PoolRequestHandler;
 import org.endivetray.daemon.job.shard.ShardContext;
@@ -103,12 +106,19 @@
         mVertx = newVertx();
         mScheduler = new Duty("scheduler", RING_ENTRIES, TICK_MILLIS, this::tick);
         mExecutor = new DutyExecutor(mVertx, mScheduler);
-        mStore =
-                new SiteStore(
-                        mVertx, settings.store().host(), settings.store().port(), STORE_MAX_MILLIS);
         JobMetrics metrics = new JobMetrics();
         LocalShards local = new LocalShards(mExecutor);
         Peers peers = new Peers(mVertx, settings.name(), incarnation);
+        RelayingStore store =
+                new RelayingStore(
+                        new SiteStore(
+                                mVertx,
+                                settings.store().host(),
+                                settings.store().port(),
+                                STORE_MAX_MILLIS),
+                        new StorePeers(settings.name(), this::ownershipView, peers),
+                        System::nanoTime);
+        mStore = store;
         mSite = new SiteWatch(mStore, mExecutor, this::onSiteChange);
         mOwners = new OwnershipWatch(mStore, mExecutor, () -> {});
         PoolRequestHandler pools = new PoolRequestHandler(local, mExecutor);
@@ -144,7 +154,7 @@
                         mVertx,
                         settings.name(),
                         incarnation,
-                        new PeerMessageHandler(mRouter, pools));
+                        new PeerMessageHandler(mRouter, pools, new StoreCallHandler(store)));
         mMetricsServer = new MetricsServer(mVertx, metrics);
         mOwnership =
                 new OwnershipManager(
@@ -195,6 +205,10 @@
                 && config.queues().stream().anyMatch(queue -> queue.pool().equals(pool));
     }
 
+    private OwnershipView ownershipView() {
+        return mOwners.view();
+    }
+
     private OwnershipManager ownership() {
         return mOwnership;
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/peer/Peers.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/peer/Peers.java
@@ -1,4 +1,4 @@
-package org.endivetray.daemon.job.routing;
+package org.endivetray.daemon.job.peer;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -16,7 +16,7 @@
  *
  * <p>This class is thread-safe.
  */
-public final class Peers {
+public final class Peers implements PeerClient {
     private static final int CONNECT_TIMEOUT_MILLIS = 700;
 
     private final Vertx mVertx;
@@ -44,13 +44,7 @@
                                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
     }
 
-    /**
-     * Sends a message to another daemon and returns its reply.
-     *
-     * @param daemon the daemon, not null
-     * @param body the message, not null
-     * @param timeoutMillis time to wait for the reply, in milliseconds
-     */
+    @Override
     public Future<Body> send(DaemonRecord daemon, Body body, long timeoutMillis) {
         return link(daemon).peer().send(body, timeoutMillis);
     }
--- /dev/null
+++ b/daemon/src/main/java/org/endivetray/daemon/job/relay/RelayingStore.java
@@ -0,0 +1,268 @@
+package org.endivetray.daemon.job.relay;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.endivetray.EndivetrayException;
+import org.endivetray.ResultCode;
+import org.endivetray.platform.SharedStore;
+import org.endivetray.platform.VersionedValue;
+import org.endivetray.wire.gen.StoreCall;
+import org.endivetray.wire.gen.StoreOperation;
+import org.endivetray.wire.gen.StoreReply;
+import org.endivetray.wire.gen.StoreStatus;
+
+/**
+ * The shared store, called through a peer while the store does not answer this daemon itself.
+ *
+ * <p>The store may turn some daemons away and serve the others. A daemon that is turned away keeps
+ * its lease and its shards this way instead of losing them to a daemon that first has to load them.
+ * While no peer reaches the store either, calls are made directly.
+ *
+ * <p>Invariants: a commit that may have been made directly is never reported as refused or as in
+ * conflict because of its repetition through a peer.
+ *
+ * <p>This class is thread-safe.
+ */
+public final class RelayingStore implements SharedStore {
+    private static final Logger LOGGER = System.getLogger(RelayingStore.class.getName());
+
+    /** Time limit of a call through a peer; the store and a peer usually take milliseconds. */
+    private static final long RELAY_TIMEOUT_MILLIS = 500;
+
+    private final SharedStore mDirect;
+    private final StorePeers mPeers;
+    private final LongSupplier mNanoTime;
+    private final StorePath mPath = new StorePath();
+    private final Set<Promise<?>> mDirectWatches = ConcurrentHashMap.newKeySet();
+
+    /**
+     * Constructs a store.
+     *
+     * @param direct the store as this daemon reaches it, not null
+     * @param peers the daemons that may reach it instead, not null
+     * @param nanoTime the monotonic clock, in nanoseconds, not null
+     */
+    public RelayingStore(SharedStore direct, StorePeers peers, LongSupplier nanoTime) {
+        mDirect = direct;
+        mPeers = peers;
+        mNanoTime = nanoTime;
+    }
+
+    /** Returns the store as this daemon reaches it. */
+    SharedStore direct() {
+        return mDirect;
+    }
+
+    /** Returns whether the store answers this daemon, as far as is known. */
+    boolean isReachable() {
+        return mPath.isUsable();
+    }
+
+    @Override
+    public Future<VersionedValue> read(String key) {
+        return call(
+                () -> mDirect.read(key),
+                StoreMessages.call(StoreOperation.READ, key, 0),
+                RELAY_TIMEOUT_MILLIS,
+                StoreMessages::value);
+    }
+
+    @Override
+    public Future<Range> list(String prefix, boolean mayBeStale) {
+        return call(
+                () -> mDirect.list(prefix, mayBeStale),
+                StoreMessages.call(StoreOperation.LIST, prefix, 0).setMayBeStale(mayBeStale),
+                RELAY_TIMEOUT_MILLIS,
+                StoreMessages::range);
+    }
+
+    @Override
+    public Future<Range> watch(String prefix, long afterRevision, long waitMillis) {
+        return call(
+                () -> abandonable(mDirect.watch(prefix, afterRevision, waitMillis)),
+                StoreMessages.call(StoreOperation.WATCH, prefix, afterRevision)
+                        .setWaitMillis(waitMillis),
+                waitMillis + RELAY_TIMEOUT_MILLIS,
+                StoreMessages::range);
+    }
+
+    /** Returns a future that fails early if the store turns out not to answer this daemon. */
+    private Future<Range> abandonable(Future<Range> watch) {
+        Promise<Range> result = Promise.promise();
+        mDirectWatches.add(result);
+        watch.onComplete(
+                done -> {
+                    mDirectWatches.remove(result);
+                    if (done.succeeded()) {
+                        result.tryComplete(done.result());
+                    } else {
+                        result.tryFail(done.cause());
+                    }
+                });
+        return result.future();
+    }
+
+    @Override
+    public Future<CommitResult> commit(Commit commit) {
+        StoreCall call = StoreMessages.call(commit);
+        if (!mPath.mayCallDirectly(mNanoTime.getAsLong())) {
+            return mPeers.send(call, RELAY_TIMEOUT_MILLIS)
+                    .compose(
+                            reply ->
+                                    reply.getStatus() == StoreStatus.NOT_REACHED
+                                            ? mDirect.commit(commit).onSuccess(this::onCommitted)
+                                            : Future.succeededFuture(
+                                                    StoreMessages.commitResult(reply)));
+        }
+        return mDirect.commit(commit).compose(result -> afterDirect(call, result));
+    }
+
+    private void onCommitted(CommitResult direct) {
+        switch (direct.outcome()) {
+            case UNKNOWN -> onSilent();
+            case NOT_DONE -> onRefused();
+            default -> onAnswered();
+        }
+    }
+
+    private Future<CommitResult> afterDirect(StoreCall call, CommitResult direct) {
+        onCommitted(direct);
+        if (direct.outcome() != CommitOutcome.UNKNOWN
+                && direct.outcome() != CommitOutcome.NOT_DONE) {
+            return Future.succeededFuture(direct);
+        }
+        return mPeers.send(call, RELAY_TIMEOUT_MILLIS)
+                .map(reply -> merge(direct, StoreMessages.commitResult(reply)));
+    }
+
+    /** Returns the result of a commit that was tried directly and then through a peer. */
+    private static CommitResult merge(CommitResult direct, CommitResult relayed) {
+        boolean isCertain =
+                relayed.isDone()
+                        || direct.outcome() == CommitOutcome.NOT_DONE
+                        || relayed.outcome() == CommitOutcome.NO_SUCH_LEASE;
+        return isCertain ? relayed : new CommitResult(CommitOutcome.UNKNOWN, 0, List.of());
+    }
+
+    @Override
+    public Future<Long> createLease(long ttlMillis) {
+        return call(
+                () -> mDirect.createLease(ttlMillis),
+                StoreMessages.call(StoreOperation.CREATE_LEASE, "", ttlMillis),
+                RELAY_TIMEOUT_MILLIS,
+                StoreReply::getNumber);
+    }
+
+    @Override
+    public Future<Boolean> renewLease(long lease) {
+        return call(
+                () -> mDirect.renewLease(lease),
+                StoreMessages.call(StoreOperation.RENEW_LEASE, "", lease),
+                RELAY_TIMEOUT_MILLIS,
+                reply -> reply.getNumber() != 0);
+    }
+
+    @Override
+    public Future<Void> endLease(long lease) {
+        return call(
+                () -> mDirect.endLease(lease),
+                StoreMessages.call(StoreOperation.END_LEASE, "", lease),
+                RELAY_TIMEOUT_MILLIS,
+                reply -> null);
+    }
+
+    private <T> Future<T> call(
+            Supplier<Future<T>> direct,
+            StoreCall call,
+            long timeoutMillis,
+            Function<StoreReply, T> decoder) {
+        if (!mPath.mayCallDirectly(mNanoTime.getAsLong())) {
+            return mPeers.send(call, timeoutMillis)
+                    .compose(
+                            reply ->
+                                    reply.getStatus() == StoreStatus.NOT_REACHED
+                                            ? direct.get().onSuccess(ignored -> onAnswered())
+                                            : decode(reply, decoder));
+        }
+        return direct.get()
+                .onSuccess(ignored -> onAnswered())
+                .recover(
+                        cause -> {
+                            if (isHistoryLost(cause)) {
+                                onAnswered();
+                                return Future.failedFuture(cause);
+                            }
+                            onFailed(cause);
+                            return mPeers.send(call, timeoutMillis)
+                                    .compose(reply -> decode(reply, decoder))
+                                    .recover(ignored -> Future.failedFuture(cause));
+                        });
+    }
+
+    private static <T> Future<T> decode(StoreReply reply, Function<StoreReply, T> decoder) {
+        return switch (reply.getStatus()) {
+            case DONE -> Future.succeededFuture(decoder.apply(reply));
+            case HISTORY_LOST ->
+                    Future.failedFuture(
+                            new EndivetrayException(
+                                    ResultCode.HISTORY_LOST, "the changes asked for are gone"));
+            default ->
+                    Future.failedFuture(
+                            new EndivetrayException(
+                                    ResultCode.STORE_UNAVAILABLE,
+                                    "no daemon has reached the store, status "
+                                            + reply.getStatus()));
+        };
+    }
+
+    private static boolean isHistoryLost(Throwable cause) {
+        return cause instanceof EndivetrayException e && e.code() == ResultCode.HISTORY_LOST;
+    }
+
+    private void onAnswered() {
+        if (!mPath.isUsable()) {
+            LOGGER.log(Level.INFO, "state: the store answers this daemon again");
+        }
+        mPath.onAnswered();
+    }
+
+    private void onFailed(Throwable cause) {
+        boolean isRefused =
+                cause instanceof EndivetrayException e && e.code() == ResultCode.STORE_UNAVAILABLE;
+        if (isRefused) {
+            onRefused();
+        } else {
+            onSilent();
+        }
+    }
+
+    private void onRefused() {
+        boolean wasUsable = mPath.isUsable();
+        mPath.onRefused(mNanoTime.getAsLong());
+        afterFailure(wasUsable);
+    }
+
+    private void onSilent() {
+        boolean wasUsable = mPath.isUsable();
+        mPath.onSilent(mNanoTime.getAsLong());
+        afterFailure(wasUsable);
+    }
+
+    /** Abandons the direct watches, which may wait on connections that have gone silent. */
+    private void afterFailure(boolean wasUsable) {
+        if (wasUsable && !mPath.isUsable()) {
+            LOGGER.log(Level.INFO, "state: the store does not answer this daemon, peers are asked");
+            for (Promise<?> watch : mDirectWatches) {
+                watch.tryFail("the store does not answer this daemon");
+            }
+        }
+    }
+}
--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/JobRouter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/JobRouter.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 import org.endivetray.EndivetrayException;
 import org.endivetray.daemon.job.ownership.OwnershipView;
+import org.endivetray.daemon.job.peer.PeerClient;
 import org.endivetray.daemon.observe.JobMetrics;
 import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobAnswer.Verdict;
@@ -42,7 +43,7 @@
     private final Supplier<SiteConfig> mConfig;
     private final Supplier<OwnershipView> mView;
     private final LocalShards mLocal;
-    private final Peers mPeers;
+    private final PeerClient mPeers;
     private final StoreFallback mFallback;
     private final JobMetrics mMetrics;
     private final String mName;
@@ -66,7 +67,7 @@
             Supplier<SiteConfig> config,
             Supplier<OwnershipView> view,
             LocalShards local,
-            Peers peers,
+            PeerClient peers,
             SharedStore store,
             JobMetrics metrics) {
         mName = name;
--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/PeerMessageHandler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/PeerMessageHandler.java
@@ -1,6 +1,7 @@
 package org.endivetray.daemon.job.routing;
 
 import io.vertx.core.Future;
+import org.endivetray.daemon.job.relay.StoreCallHandler;
 import org.endivetray.wire.MessageHandler;
 import org.endivetray.wire.gen.Body;
 
@@ -12,16 +13,20 @@
 public final class PeerMessageHandler implements MessageHandler {
     private final JobRouter mRouter;
     private final PoolRequestHandler mPools;
+    private final StoreCallHandler mStoreCalls;
 
     /**
      * Constructs a handler.
      *
      * @param router answers job requests, not null
      * @param pools answers requests about pools, not null
+     * @param storeCalls makes calls of the shared store for other daemons, not null
      */
-    public PeerMessageHandler(JobRouter router, PoolRequestHandler pools) {
+    public PeerMessageHandler(
+            JobRouter router, PoolRequestHandler pools, StoreCallHandler storeCalls) {
         mRouter = router;
         mPools = pools;
+        mStoreCalls = storeCalls;
     }
 
     @Override
@@ -39,6 +44,9 @@
             mPools.handleTermination(body.getMinionGone());
             return Future.succeededFuture(body);
         }
+        if (body.isSetStoreCall()) {
+            return mStoreCalls.handle(body.getStoreCall()).map(Body::storeReply);
+        }
         return Future.failedFuture("unknown message type");
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/PoolOwnerClient.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/PoolOwnerClient.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import java.util.function.Supplier;
 import org.endivetray.daemon.job.ownership.OwnershipView;
+import org.endivetray.daemon.job.peer.PeerClient;
 import org.endivetray.wire.gen.Body;
 import org.endivetray.wire.gen.DrainReply;
 import org.endivetray.wire.gen.DrainRequest;
@@ -21,7 +22,7 @@
 
     private final String mName;
     private final Supplier<OwnershipView> mView;
-    private final Peers mPeers;
+    private final PeerClient mPeers;
     private final PoolRequestHandler mLocal;
 
     /**
@@ -33,7 +34,7 @@
      * @param local answers for the shards that this daemon owns, not null
      */
     public PoolOwnerClient(
-            String name, Supplier<OwnershipView> view, Peers peers, PoolRequestHandler local) {
+            String name, Supplier<OwnershipView> view, PeerClient peers, PoolRequestHandler local) {
         mName = name;
         mView = view;
         mPeers = peers;
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -39,9 +39,10 @@
 
     /**
      * Longest wait for the minions that may run tasks of an earlier owner, before tasks are
-     * dispatched. This is slightly above the time limit of a listing without a wait.
+     * dispatched. This is several round trips; tasks that may run on a minion that has not answered
+     * by then are not started.
      */
-    private static final long ADOPT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+    private static final long ADOPT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
     private static final long RELOAD_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
     private static final long PURGE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
--- /dev/null
+++ b/daemon/src/test/java/org/endivetray/daemon/job/relay/RelayingStoreTest.java
@@ -0,0 +1,210 @@
+package org.endivetray.daemon.job.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Future;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.endivetray.daemon.job.ownership.OwnershipManager;
+import org.endivetray.daemon.job.ownership.OwnershipView;
+import org.endivetray.daemon.job.ownership.OwnershipView.DaemonRecord;
+import org.endivetray.daemon.job.ownership.OwnershipWatch;
+import org.endivetray.daemon.job.relay.UnreliableStore.Path;
+import org.endivetray.daemon.job.virtual.VirtualExecutor;
+import org.endivetray.daemon.job.virtual.VirtualStore;
+import org.endivetray.platform.SharedStore;
+import org.endivetray.platform.SharedStore.Commit;
+import org.endivetray.platform.SharedStore.CommitOutcome;
+import org.endivetray.platform.SharedStore.CommitResult;
+import org.endivetray.platform.SharedStore.Condition;
+import org.endivetray.platform.SharedStore.Write;
+import org.endivetray.wire.gen.Body;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests daemons of which the store turns some away while it serves the others.
+ *
+ * <p>This class is not thread-safe.
+ */
+class RelayingStoreTest {
+    private static final long SETTLE_MILLIS = 400;
+    private static final long TICK_MILLIS = 10;
+    private static final String KEY = "endivetray/job/k";
+
+    private final VirtualExecutor mExecutor = new VirtualExecutor();
+    private final VirtualStore mStore = new VirtualStore(mExecutor);
+    private final Map<String, Daemon> mDaemons = new TreeMap<>();
+
+    /** A daemon that reaches the store directly or through the others. */
+    private final class Daemon implements OwnershipManager.Listener {
+        final UnreliableStore mDirect = new UnreliableStore(mStore, mExecutor);
+        final RelayingStore mRelaying;
+        final Map<String, Long> mTokens = new HashMap<>();
+        private final OwnershipManager mOwnership;
+
+        private Daemon(String name) {
+            mRelaying =
+                    new RelayingStore(
+                            mDirect,
+                            new StorePeers(
+                                    name,
+                                    RelayingStoreTest.this::view,
+                                    (peer, body, timeout) ->
+                                            mDaemons.get(peer.name()).answer(body)),
+                            mExecutor::nanoTime);
+            OwnershipWatch watch = new OwnershipWatch(mRelaying, mExecutor, () -> {});
+            mOwnership =
+                    new OwnershipManager(
+                            mRelaying, mExecutor, watch, daemonRecord(name), SETTLE_MILLIS, this);
+            mOwnership.setWantedShards(Set.of("charts", "ice"), "");
+            watch.start();
+            mExecutor.execute(this::tick);
+        }
+
+        private Future<Body> answer(Body body) {
+            return new StoreCallHandler(mRelaying)
+                    .handle(body.getStoreCall())
+                    .map(Body::storeReply);
+        }
+
+        private void tick() {
+            mOwnership.tick(mExecutor.nanoTime());
+            mExecutor.schedule(TICK_MILLIS, this::tick);
+        }
+
+        @Override
+        public void onAcquired(String shard, long token) {
+            mTokens.put(shard, token);
+        }
+
+        @Override
+        public void onLost(String shard, String reason) {
+            mTokens.remove(shard);
+        }
+
+        @Override
+        public void onReleaseRequested(String shard) {
+            mOwnership.completeRelease(shard, mTokens.remove(shard));
+        }
+    }
+
+    private static DaemonRecord daemonRecord(String name) {
+        return new DaemonRecord(name, "127.0.0.1", 1, 1, 750, false);
+    }
+
+    private OwnershipView view() {
+        return new OwnershipView(
+                1,
+                mDaemons.keySet().stream()
+                        .collect(Collectors.toMap(name -> name, RelayingStoreTest::daemonRecord)),
+                Map.of());
+    }
+
+    private Daemon start(String name) {
+        Daemon daemon = new Daemon(name);
+        mDaemons.put(name, daemon);
+        return daemon;
+    }
+
+    private <T> T resultOf(Future<T> future, long millis) {
+        mExecutor.advance(millis);
+        assertThat(future.isComplete()).isTrue();
+        return future.result();
+    }
+
+    private static Commit creation(String value) {
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        return new Commit(
+                List.of(new Condition(KEY, SharedStore.ABSENT)),
+                List.of(new Write(KEY, bytes, SharedStore.NO_LEASE)),
+                List.of());
+    }
+
+    /** Asserts that an owner keeps its shards for several leases on a failing path. */
+    private void assertKeepsShards(Path path) {
+        Daemon owner = start("a");
+        mExecutor.advance(4 * SETTLE_MILLIS);
+        Map<String, Long> tokens = Map.copyOf(owner.mTokens);
+        assertThat(tokens).hasSize(2);
+        Daemon other = start("b");
+        mExecutor.advance(SETTLE_MILLIS);
+        owner.mDirect.mPath = path;
+        mExecutor.advance(3_500);
+        assertThat(owner.mTokens).isEqualTo(tokens);
+        assertThat(other.mTokens).isEmpty();
+    }
+
+    @Test
+    void anOwnerThatTheStoreRefusesKeepsItsShards() {
+        assertKeepsShards(Path.REFUSED);
+    }
+
+    @Test
+    void anOwnerThatTheStoreDoesNotAnswerKeepsItsShards() {
+        assertKeepsShards(Path.SILENT);
+    }
+
+    @Test
+    void aCommitOfADaemonThatTheStoreRefusesIsMadeByAPeer() {
+        Daemon cut = start("a");
+        start("b");
+        cut.mDirect.mPath = Path.REFUSED;
+        CommitResult result = resultOf(cut.mRelaying.commit(creation("x")), 50);
+        assertThat(result.outcome()).isEqualTo(CommitOutcome.DONE);
+        assertThat(mStore.get(KEY).isPresent()).isTrue();
+    }
+
+    @Test
+    void aCommitThatMayHaveBeenMadeDirectlyIsNotInConflictWithItself() {
+        Daemon cut = start("a");
+        start("b");
+        cut.mDirect.mPath = Path.ANSWERS_LOST;
+        CommitResult result = resultOf(cut.mRelaying.commit(creation("x")), 1_500);
+        assertThat(result.outcome()).isEqualTo(CommitOutcome.UNKNOWN);
+        assertThat(mStore.get(KEY).isPresent()).isTrue();
+    }
+
+    @Test
+    void aCommitIsRefusedAsNotMadeOnlyIfNoDaemonHasMadeIt() {
+        Daemon first = start("a");
+        Daemon second = start("b");
+        first.mDirect.mPath = Path.REFUSED;
+        second.mDirect.mPath = Path.REFUSED;
+        CommitResult result = resultOf(first.mRelaying.commit(creation("x")), 50);
+        assertThat(result.outcome()).isEqualTo(CommitOutcome.NOT_DONE);
+        mExecutor.advance(5_000);
+        assertThat(mStore.get(KEY).isPresent()).isFalse();
+    }
+
+    @Test
+    void aWatchOnASilentConnectionGoesOnThroughAPeerOnceAnotherCallHasFailed() {
+        Daemon cut = start("a");
+        start("b");
+        cut.mDirect.mPath = Path.SILENT;
+        Future<SharedStore.Range> watch = cut.mRelaying.watch("endivetray/job/", 1, 60_000);
+        cut.mRelaying.read(KEY);
+        mExecutor.advance(2_000);
+        assertThat(watch.isComplete()).isFalse();
+        mStore.put(KEY, new byte[] {1});
+        assertThat(resultOf(watch, 100).entries()).hasSize(1);
+    }
+
+    @Test
+    void callsAreMadeDirectlyAgainOnceTheStoreAnswers() {
+        Daemon cut = start("a");
+        Daemon peer = start("b");
+        cut.mDirect.mPath = Path.REFUSED;
+        mExecutor.advance(2_000);
+        assertThat(cut.mRelaying.isReachable()).isFalse();
+        cut.mDirect.mPath = Path.UP;
+        mExecutor.advance(2_000);
+        assertThat(cut.mRelaying.isReachable()).isTrue();
+        peer.mDirect.mPath = Path.REFUSED;
+        assertThat(resultOf(cut.mRelaying.read(KEY), 50).isPresent()).isFalse();
+    }
+}
