End watches with their path to the store, and refuse submissions at once while isolated

Each gave up its direct watch and sent it to a peer that had not noticed the silence yet; that peer's call hung until 29.5 s, so 30 of 47 daemons put version 9, acknowledged at 24.1 s, into force at 29.5 s. Change: a watch made for a peer ends when this daemon's path fails, one through a peer ends when the store answers again, and a watch is never the probe of a failing path. Configuration is watched for 2.5 s a call, owners for 4 s. A daemon whose store calls nobody answers is isolated: it is not ready and refuses submissions of pools that it does not own before anything is sent, with 0.1 s until the caller comes back; where peers answer but do not reach the store, 1 s.

--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -147,6 +147,7 @@
                         local,
                         peers,
                         mStore,
+                        store::reach,
                         metrics);
         mHttpServer = new SiteHttpServer(mVertx, mRouter);
         mPeerServer =
--- a/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipWatch.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipWatch.java
@@ -21,8 +21,11 @@
 public final class OwnershipWatch {
     private static final Logger LOGGER = System.getLogger(OwnershipWatch.class.getName());
 
-    /** Longest wait of one watch call, well below the longest that the platform allows. */
-    private static final long WAIT_MILLIS = 10_000;
+    /**
+     * Longest wait of one watch call, which bounds the time for which owners are not updated if the
+     * connection of the call has gone silent.
+     */
+    private static final long WAIT_MILLIS = 4_000;
 
     /** Delay before the keys are listed again after a list or watch call has failed. */
     private static final long RETRY_MILLIS = 250;
--- a/daemon/src/main/java/org/endivetray/daemon/job/ownership/SiteWatch.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ownership/SiteWatch.java
@@ -22,8 +22,11 @@
 public final class SiteWatch {
     private static final Logger LOGGER = System.getLogger(SiteWatch.class.getName());
 
-    /** Longest wait of one watch call, well below the longest that the platform allows. */
-    private static final long WAIT_MILLIS = 10_000;
+    /**
+     * Longest wait of one watch call. A configuration must be in force within seconds, also if the
+     * connection of the call has gone silent.
+     */
+    private static final long WAIT_MILLIS = 2_500;
 
     /** Delay before the keys are listed again after a list or watch call has failed. */
     private static final long RETRY_MILLIS = 200;
--- a/daemon/src/main/java/org/endivetray/daemon/job/relay/RelayingStore.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/relay/RelayingStore.java
@@ -41,7 +41,9 @@
     private final StorePeers mPeers;
     private final LongSupplier mNanoTime;
     private final StorePath mPath = new StorePath();
+    private volatile StoreReach mRelayReach = StoreReach.REACHED;
     private final Set<Promise<?>> mDirectWatches = ConcurrentHashMap.newKeySet();
+    private final Set<Promise<?>> mRelayedWatches = ConcurrentHashMap.newKeySet();
 
     /**
      * Constructs a store.
@@ -66,12 +68,28 @@
         return mPath.isUsable();
     }
 
+    /** Returns how far this daemon reaches the store, directly or through its peers. */
+    public StoreReach reach() {
+        return mPath.isUsable() ? StoreReach.REACHED : mRelayReach;
+    }
+
+    private Future<StoreReply> relay(StoreCall call, long timeoutMillis) {
+        return mPeers.send(call, timeoutMillis)
+                .onSuccess(
+                        reply ->
+                                mRelayReach =
+                                        switch (reply.getStatus()) {
+                                            case NOT_REACHED -> StoreReach.STORE_AWAY;
+                                            case UNKNOWN -> StoreReach.ISOLATED;
+                                            default -> StoreReach.REACHED;
+                                        });
+    }
+
     @Override
     public Future<VersionedValue> read(String key) {
         return call(
                 () -> mDirect.read(key),
                 StoreMessages.call(StoreOperation.READ, key, 0),
-                RELAY_TIMEOUT_MILLIS,
                 StoreMessages::value);
     }
 
@@ -80,27 +98,40 @@
         return call(
                 () -> mDirect.list(prefix, mayBeStale),
                 StoreMessages.call(StoreOperation.LIST, prefix, 0).setMayBeStale(mayBeStale),
-                RELAY_TIMEOUT_MILLIS,
                 StoreMessages::range);
     }
 
+    /**
+     * {@inheritDoc}
+     *
+     * <p>A direct watch ends early once the store turns out not to answer this daemon, and one
+     * through a peer once the store answers this daemon again, since either may wait on a
+     * connection that has gone silent.
+     */
     @Override
     public Future<Range> watch(String prefix, long afterRevision, long waitMillis) {
-        return call(
-                () -> abandonable(mDirect.watch(prefix, afterRevision, waitMillis)),
+        if (mPath.isUsable()) {
+            return watchDirectly(prefix, afterRevision, waitMillis);
+        }
+        StoreCall call =
                 StoreMessages.call(StoreOperation.WATCH, prefix, afterRevision)
-                        .setWaitMillis(waitMillis),
-                waitMillis + RELAY_TIMEOUT_MILLIS,
-                StoreMessages::range);
+                        .setWaitMillis(waitMillis);
+        Future<StoreReply> relayed = relay(call, waitMillis + RELAY_TIMEOUT_MILLIS);
+        return abandonable(relayed, mRelayedWatches)
+                .compose(reply -> decode(reply, StoreMessages::range));
     }
 
-    /** Returns a future that fails early if the store turns out not to answer this daemon. */
-    private Future<Range> abandonable(Future<Range> watch) {
-        Promise<Range> result = Promise.promise();
-        mDirectWatches.add(result);
+    /** Watches through this daemon's own path to the store; ends early once that path fails. */
+    Future<Range> watchDirectly(String prefix, long afterRevision, long waitMillis) {
+        return abandonable(mDirect.watch(prefix, afterRevision, waitMillis), mDirectWatches);
+    }
+
+    private static <T> Future<T> abandonable(Future<T> watch, Set<Promise<?>> open) {
+        Promise<T> result = Promise.promise();
+        open.add(result);
         watch.onComplete(
                 done -> {
-                    mDirectWatches.remove(result);
+                    open.remove(result);
                     if (done.succeeded()) {
                         result.tryComplete(done.result());
                     } else {
@@ -114,7 +145,7 @@
     public Future<CommitResult> commit(Commit commit) {
         StoreCall call = StoreMessages.call(commit);
         if (!mPath.mayCallDirectly(mNanoTime.getAsLong())) {
-            return mPeers.send(call, RELAY_TIMEOUT_MILLIS)
+            return relay(call, RELAY_TIMEOUT_MILLIS)
                     .compose(
                             reply ->
                                     reply.getStatus() == StoreStatus.NOT_REACHED
@@ -139,7 +170,7 @@
                 && direct.outcome() != CommitOutcome.NOT_DONE) {
             return Future.succeededFuture(direct);
         }
-        return mPeers.send(call, RELAY_TIMEOUT_MILLIS)
+        return relay(call, RELAY_TIMEOUT_MILLIS)
                 .map(reply -> merge(direct, StoreMessages.commitResult(reply)));
     }
 
@@ -157,7 +188,6 @@
         return call(
                 () -> mDirect.createLease(ttlMillis),
                 StoreMessages.call(StoreOperation.CREATE_LEASE, "", ttlMillis),
-                RELAY_TIMEOUT_MILLIS,
                 StoreReply::getNumber);
     }
 
@@ -166,7 +196,6 @@
         return call(
                 () -> mDirect.renewLease(lease),
                 StoreMessages.call(StoreOperation.RENEW_LEASE, "", lease),
-                RELAY_TIMEOUT_MILLIS,
                 reply -> reply.getNumber() != 0);
     }
 
@@ -175,17 +204,13 @@
         return call(
                 () -> mDirect.endLease(lease),
                 StoreMessages.call(StoreOperation.END_LEASE, "", lease),
-                RELAY_TIMEOUT_MILLIS,
                 reply -> null);
     }
 
     private <T> Future<T> call(
-            Supplier<Future<T>> direct,
-            StoreCall call,
-            long timeoutMillis,
-            Function<StoreReply, T> decoder) {
+            Supplier<Future<T>> direct, StoreCall call, Function<StoreReply, T> decoder) {
         if (!mPath.mayCallDirectly(mNanoTime.getAsLong())) {
-            return mPeers.send(call, timeoutMillis)
+            return relay(call, RELAY_TIMEOUT_MILLIS)
                     .compose(
                             reply ->
                                     reply.getStatus() == StoreStatus.NOT_REACHED
@@ -196,12 +221,8 @@
                 .onSuccess(ignored -> onAnswered())
                 .recover(
                         cause -> {
-                            if (isHistoryLost(cause)) {
-                                onAnswered();
-                                return Future.failedFuture(cause);
-                            }
                             onFailed(cause);
-                            return mPeers.send(call, timeoutMillis)
+                            return relay(call, RELAY_TIMEOUT_MILLIS)
                                     .compose(reply -> decode(reply, decoder))
                                     .recover(ignored -> Future.failedFuture(cause));
                         });
@@ -223,15 +244,13 @@
         };
     }
 
-    private static boolean isHistoryLost(Throwable cause) {
-        return cause instanceof EndivetrayException e && e.code() == ResultCode.HISTORY_LOST;
-    }
-
     private void onAnswered() {
-        if (!mPath.isUsable()) {
+        boolean wasUsable = mPath.isUsable();
+        mPath.onAnswered();
+        if (!wasUsable) {
             LOGGER.log(Level.INFO, "state: the store answers this daemon again");
+            abandon(mRelayedWatches);
         }
-        mPath.onAnswered();
     }
 
     private void onFailed(Throwable cause) {
@@ -256,13 +275,14 @@
         afterFailure(wasUsable);
     }
 
-    /** Abandons the direct watches, which may wait on connections that have gone silent. */
     private void afterFailure(boolean wasUsable) {
         if (wasUsable && !mPath.isUsable()) {
             LOGGER.log(Level.INFO, "state: the store does not answer this daemon, peers are asked");
-            for (Promise<?> watch : mDirectWatches) {
-                watch.tryFail("the store does not answer this daemon");
-            }
+            abandon(mDirectWatches);
         }
     }
+
+    private static void abandon(Set<Promise<?>> watches) {
+        watches.forEach(watch -> watch.tryFail("the path of the watch to the store has changed"));
+    }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/relay/StoreCallHandler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/relay/StoreCallHandler.java
@@ -40,7 +40,8 @@
                     case READ -> store.read(key).map(StoreMessages::done);
                     case LIST -> store.list(key, call.isMayBeStale()).map(StoreMessages::done);
                     case WATCH ->
-                            store.watch(key, number, call.getWaitMillis()).map(StoreMessages::done);
+                            mStore.watchDirectly(key, number, call.getWaitMillis())
+                                    .map(StoreMessages::done);
                     case COMMIT ->
                             store.commit(StoreMessages.commit(call)).map(StoreMessages::reply);
                     case CREATE_LEASE -> store.createLease(number).map(StoreMessages::done);
--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/JobRouter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/JobRouter.java
@@ -9,6 +9,7 @@
 import org.endivetray.EndivetrayException;
 import org.endivetray.daemon.job.ownership.OwnershipView;
 import org.endivetray.daemon.job.peer.PeerClient;
+import org.endivetray.daemon.job.relay.StoreReach;
 import org.endivetray.daemon.observe.JobMetrics;
 import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobAnswer.Verdict;
@@ -48,6 +49,7 @@
     private final JobMetrics mMetrics;
     private final String mName;
     private final PendingCounts mPendingCounts = new PendingCounts();
+    private final Supplier<StoreReach> mReach;
     private volatile boolean mIsReady;
     private volatile boolean mIsStopping;
 
@@ -60,6 +62,7 @@
      * @param local the shards that this daemon owns, not null
      * @param peers the other daemons, not null
      * @param store the shared store, not null
+     * @param reach supplies how far this daemon reaches the store, not null
      * @param metrics counters and histograms, not null
      */
     public JobRouter(
@@ -69,6 +72,7 @@
             LocalShards local,
             PeerClient peers,
             SharedStore store,
+            Supplier<StoreReach> reach,
             JobMetrics metrics) {
         mName = name;
         mConfig = config;
@@ -76,6 +80,7 @@
         mLocal = local;
         mPeers = peers;
         mFallback = new StoreFallback(store);
+        mReach = reach;
         mMetrics = metrics;
     }
 
@@ -94,7 +99,7 @@
 
     @Override
     public boolean isReady() {
-        return mIsReady && !mIsStopping;
+        return mIsReady && !mIsStopping && mReach.get() != StoreReach.ISOLATED;
     }
 
     @Override
@@ -123,6 +128,14 @@
                     e.getMessage());
             return Future.succeededFuture(JobAnswer.malformed(e.getMessage()));
         }
+        StoreReach reach = mReach.get();
+        if (!reach.canStore() && !mLocal.owns(queue.pool())) {
+            // Nothing has been sent yet, so the job certainly does not run because of this request.
+            LOGGER.log(Level.INFO, "front: submit refused job={0} reach={1}", id, reach);
+            return Future.succeededFuture(
+                    JobAnswer.refused(
+                            reach.retryAfterMillis(), "this daemon cannot store jobs now"));
+        }
         return route(JobAction.SUBMIT, queue, id, body, () -> mFallback.submit(queue, id, spec));
     }
 
