Dispatch the least work first among the jobs that can be in time

Change: StepRank orders by the remaining work of the job; a step with less slack than the margin counts as late.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -76,6 +76,9 @@
      */
     private StepRank rank(StepEntry step, List<StepEntry> steps, long nowNanos, long nowMillis) {
         JobEntry job = step.mJob;
+        if (step.mSpec.longRunning()) {
+            return StepRank.ofLongRunning(step.mSpec.fills(), job.mStored.queue().priority());
+        }
         long[] endMillis = new long[steps.size()];
         long criticalPathMillis = 0;
         long remainingMillis = 0;
@@ -104,10 +107,8 @@
                 Math.round(job.mStored.queue().stretch() * criticalPathMillis)
                         + job.mStored.queue().targetLatencyMillis();
         return StepRank.of(
-                step.mSpec.longRunning(),
-                step.mSpec.fills(),
-                job.mStored.queue().priority(),
                 objectiveMillis - ageMillis - remainingMillis,
+                remainingMillis,
                 ageMillis,
                 workCoreSeconds);
     }
--- a/policy/src/main/java/org/endivetray/policy/job/StepRank.java
+++ b/policy/src/main/java/org/endivetray/policy/job/StepRank.java
@@ -6,8 +6,13 @@
  * The rank of a step with waiting tasks in the dispatch order.
  *
  * <p>Long-running steps that are not best-effort go first by queue priority, since they serve users
- * continuously. Steps that can still meet their objective follow, least slack first, then those
- * that cannot, oldest first. Long-running best-effort steps go last.
+ * continuously. Steps that can still meet their objective follow, least remaining work of the job
+ * first, then those that cannot, oldest first. Long-running best-effort steps go last.
+ *
+ * <p>When more work arrives than the pool can carry, the order by least work completes the most
+ * jobs in time. Least slack first would start each job at its last moment, where half of the jobs
+ * miss their objective because durations vary; a step with little slack for its remaining time
+ * therefore counts as one that cannot meet its objective.
  *
  * <p>This class is immutable and thread-safe.
  *
@@ -23,29 +28,36 @@
     private static final int IN_TIME = 1;
     private static final int LATE = 2;
 
+    /** Slack that a step needs to be in time, as a share of its job's remaining time. */
+    private static final double SLACK_SHARE = 0.3;
+
+    /** Slack that a step needs in addition, for the delivery of its orders and ends. */
+    private static final long SLACK_MILLIS = 100;
+
     /**
-     * Returns the rank of a step.
+     * Returns the rank of a long-running step.
      *
-     * @param isLongRunning whether its tasks run until the job is cancelled
      * @param isBestEffort whether its tasks use only capacity that other tasks leave
-     * @param priority the queue's priority, 0 goes first; applies to long-running steps only
+     * @param priority the queue's priority, 0 goes first
+     */
+    public static StepRank ofLongRunning(boolean isBestEffort, int priority) {
+        return new StepRank(isBestEffort ? BEST_EFFORT : LONG_RUNNING, priority);
+    }
+
+    /**
+     * Returns the rank of a step whose tasks end by themselves.
+     *
      * @param slackMillis time that it can still wait and meet its objective, in milliseconds,
      *     negative if it is late
+     * @param remainingMillis expected duration of the steps of its job that are not done, in
+     *     milliseconds, 0 or more
      * @param ageMillis time since it was due or submitted, in milliseconds
-     * @param workCoreSeconds remaining work, in core-seconds; does not affect the rank
+     * @param workCoreSeconds remaining work of its job, in core-seconds, 0 or more
      */
     public static StepRank of(
-            boolean isLongRunning,
-            boolean isBestEffort,
-            int priority,
-            long slackMillis,
-            long ageMillis,
-            double workCoreSeconds) {
-        if (isLongRunning) {
-            return new StepRank(isBestEffort ? BEST_EFFORT : LONG_RUNNING, priority);
-        }
-        if (slackMillis >= 0) {
-            return new StepRank(IN_TIME, slackMillis);
+            long slackMillis, long remainingMillis, long ageMillis, double workCoreSeconds) {
+        if (slackMillis >= SLACK_MILLIS + SLACK_SHARE * remainingMillis) {
+            return new StepRank(IN_TIME, workCoreSeconds);
         }
         return new StepRank(LATE, -ageMillis);
     }
