Drain the minion first that has waited longest

Change: MinionDrainer goes by the time since which a minion is to be drained. Result: ShardTest.theMinionThatHasWaitedLongest..., red before.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionDrainer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionDrainer.java
@@ -1,5 +1,6 @@
 package org.endivetray.daemon.job.shard;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.endivetray.daemon.job.SchedulerExecutor;
@@ -40,18 +41,25 @@
         if (minion == null) {
             return false;
         }
-        minion.mDrainUntilNanos = mExecutor.nanoTime() + REQUEST_TTL_NANOS;
+        long now = mExecutor.nanoTime();
+        if (!minion.isDrainRequested(now)) {
+            minion.mDrainSinceNanos = now;
+        }
+        minion.mDrainUntilNanos = now + REQUEST_TTL_NANOS;
         minion.mIsDrainUrgent = isUrgent;
         return minion.isKnownEmpty();
     }
 
-    /** Stops the tasks that may be stopped now on the minions to be drained. */
+    /**
+     * Stops the tasks that may be stopped now on the minions to be drained. The minion that has
+     * waited longest goes first, so that later ones do not use up the outages that the steps of its
+     * tasks allow.
+     */
     void tick(long nowNanos) {
-        for (MinionSession minion : mState.mMinions.values()) {
-            if (minion.isDrainRequested(nowNanos) || minion.info().draining()) {
-                stopTasks(minion, nowNanos);
-            }
-        }
+        mState.mMinions.values().stream()
+                .filter(minion -> minion.isDrainRequested(nowNanos) || minion.info().draining())
+                .sorted(Comparator.comparingLong(minion -> minion.mDrainSinceNanos - nowNanos))
+                .forEach(minion -> stopTasks(minion, nowNanos));
     }
 
     private void stopTasks(MinionSession minion, long nowNanos) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
@@ -62,6 +62,10 @@
 
     long mNoRoomUntilNanos;
     long mQuarantinedUntilNanos;
+
+    /** Time of the first of the latest requests to drain the minion without a pause. */
+    long mDrainSinceNanos;
+
     long mDrainUntilNanos;
     boolean mIsDrainUrgent;
     int mConsecutiveFailures;
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
@@ -332,4 +332,33 @@
         assertThat(shard.pending(ShardHarness.QUEUE.name()).result().pending()).isZero();
         assertThat(stateOf(shard, 1)).isNotEqualTo(JobState.QUEUED);
     }
+
+    @Test
+    void theMinionThatHasWaitedLongestToBeDrainedGivesUpItsTasksFirst() {
+        mHarness.mMinions.mBehaviour =
+                (task, run) -> new VirtualMinions.Outcome(600_000, TaskEnd.DONE);
+        Shard shard = startWith("m1", "m2", "m3", "m4", "m5");
+        StepSpec longRunningStep =
+                new StepSpec(
+                        4, 1_000, 100, 0, 0, List.of(), false, false, false, "", "", 1, false, true,
+                        "", 0, false, 1);
+        mHarness.submit(shard, 1, longRunningStep);
+        mHarness.run(5_000, shard);
+        List<String> used =
+                mHarness.mMinions.mStarts.stream().map(start -> start.minion()).sorted().toList();
+        assertThat(used).hasSize(4);
+        // The first drain uses up the only outage that the step allows; two others then wait.
+        shard.drain(used.get(1), false);
+        mHarness.run(200, shard);
+        shard.drain(used.get(3), false);
+        mHarness.run(200, shard);
+        while (mHarness.mMinions.minion(used.get(3)).mRuns.size()
+                        + mHarness.mMinions.minion(used.get(0)).mRuns.size()
+                == 2) {
+            shard.drain(used.get(0), false);
+            shard.drain(used.get(3), false);
+            mHarness.run(100, shard);
+        }
+        assertThat(mHarness.mMinions.minion(used.get(3)).mRuns).isEmpty();
+    }
 }
