--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/PoolBalancer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/PoolBalancer.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.endivetray.daemon.job.ownership.SiteWatch;
@@ -88,7 +87,7 @@
     /** Returns whether nothing runs on a minion according to the latest reported load. */
     boolean isIdle(String pool, String minion) {
         Load load = mLoads.get(pool);
-        return load != null && load.mReply.getEmptyMinions().contains(minion);
+        return load != null && load.isEmpty(minion);
     }
 
     /** Returns whether long-running tasks run on a minion according to the latest reported load. */
@@ -114,9 +113,7 @@
                 requestPoolLoad(pool.name());
             }
         }
-        RebalancePolicy.Plan plan = RebalancePolicy.plan(states(config, nowNanos, reserved));
-        plan.moves().forEach(this::begin);
-        plan.drains().forEach(this::drain);
+        RebalancePolicy.moves(states(config, nowNanos, reserved)).forEach(this::begin);
     }
 
     private void requestPoolLoad(String pool) {
@@ -156,7 +153,6 @@
             long nowNanos,
             Set<String> reserved) {
         List<String> idle = new ArrayList<>();
-        Map<String, String> movable = new HashMap<>();
         int count = 0;
         int cpu = 1;
         for (WorkerInfo worker : workers) {
@@ -168,52 +164,31 @@
             boolean isCooledDown =
                     nowNanos - mMovedNanos.getOrDefault(worker.id(), nowNanos - MOVE_COOLDOWN_NANOS)
                             >= MOVE_COOLDOWN_NANOS;
-            boolean isMovable =
-                    worker.status().acceptsOrders()
-                            && isCooledDown
-                            && !mMoves.containsKey(worker.id())
-                            && mOrders.mayOrder(worker.id())
-                            && !reserved.contains(worker.id());
-            if (isMovable) {
-                movable.put(worker.minion(), worker.id());
-            }
-            if (isMovable && (pool.standby() || load.isEmpty(worker.minion()))) {
+            boolean isIdle = pool.standby() || load.isEmpty(worker.minion());
+            if (worker.status().acceptsOrders()
+                    && isIdle
+                    && isCooledDown
+                    && !mMoves.containsKey(worker.id())
+                    && mOrders.mayOrder(worker.id())
+                    && !reserved.contains(worker.id())) {
                 idle.add(worker.id());
             }
         }
-        List<String> releasable =
-                load == null
-                        ? List.of()
-                        : load.releasableMinions().stream()
-                                .filter(movable::containsKey)
-                                .map(movable::get)
-                                .toList();
         return new RebalancePolicy.PoolState(
                 pool.name(),
                 pool.standby(),
                 count,
                 load == null ? 0 : load.pinnedWorkers(),
                 idle,
-                releasable,
                 load == null ? 0 : load.mForecast.demandAfter(MOVE_LEAD_MILLIS),
                 cpu);
     }
 
     private void begin(RebalancePolicy.Move move) {
-        minionOn(move.worker()).ifPresent(minion -> begin(move, minion));
-    }
-
-    /** Drains a worker for a short time; the request is repeated while the worker is wanted. */
-    private void drain(RebalancePolicy.Drain drain) {
-        minionOn(drain.worker())
-                .ifPresent(minion -> mContext.owners().drain(drain.pool(), minion, false));
-    }
-
-    private Optional<String> minionOn(String worker) {
-        return mWorkers.stream()
-                .filter(info -> info.id().equals(worker))
+        mWorkers.stream()
+                .filter(info -> info.id().equals(move.worker()))
                 .findFirst()
-                .map(WorkerInfo::minion);
+                .ifPresent(info -> begin(move, info.minion()));
     }
 
     private void begin(RebalancePolicy.Move move, String minion) {
@@ -270,10 +245,6 @@
             return mReply.getEmptyMinions().contains(minion);
         }
 
-        private List<String> releasableMinions() {
-            return mReply.isSetReleasableMinions() ? mReply.getReleasableMinions() : List.of();
-        }
-
         private int pinnedWorkers() {
             return mReply.getPinnedMinionsSize() + mReply.getWantedMinions();
         }
--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/PoolRequestHandler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/PoolRequestHandler.java
@@ -69,14 +69,13 @@
 
     private static LoadReply toReply(PoolLoad load) {
         return new LoadReply(
-                        true,
-                        load.waitingCpuMillis(),
-                        load.usedCpuMillis(),
-                        load.totalCpuMillis(),
-                        load.emptyMinions(),
-                        load.pinnedMinions(),
-                        load.wantedMinions())
-                .setReleasableMinions(load.releasableMinions());
+                true,
+                load.waitingCpuMillis(),
+                load.usedCpuMillis(),
+                load.totalCpuMillis(),
+                load.emptyMinions(),
+                load.pinnedMinions(),
+                load.wantedMinions());
     }
 
     /**
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -3,9 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.endivetray.job.StepSpec;
 import org.endivetray.policy.job.DurationModel;
@@ -326,41 +324,7 @@
                 pinned.add(minion.id());
             }
         }
-        return new PoolLoad(
-                waiting,
-                used,
-                total,
-                empty,
-                pinned,
-                wantedMinions,
-                releasableMinions(pinned, nowNanos));
-    }
-
-    private List<String> releasableMinions(List<String> pinned, long nowNanos) {
-        Map<String, Long> remainingMillis = new HashMap<>();
-        for (MinionSession minion : mState.mMinions.values()) {
-            boolean isReleasable =
-                    minion.mIsResponding
-                            && !minion.tasks().isEmpty()
-                            && !pinned.contains(minion.id());
-            if (isReleasable) {
-                remainingMillis.put(minion.id(), remainingMillis(minion, nowNanos));
-            }
-        }
-        return remainingMillis.entrySet().stream()
-                .sorted(Map.Entry.<String, Long>comparingByValue().thenComparing(Map.Entry::getKey))
-                .map(Map.Entry::getKey)
-                .toList();
-    }
-
-    /** Returns the expected time until the tasks on a minion have ended, in milliseconds. */
-    private long remainingMillis(MinionSession minion, long nowNanos) {
-        long remaining = 0;
-        for (TaskEntry task : minion.tasks().values()) {
-            long elapsed = TimeUnit.NANOSECONDS.toMillis(nowNanos - task.mStartSentNanos);
-            remaining = Math.max(remaining, expectedMillis(task.mStep) - elapsed);
-        }
-        return remaining;
+        return new PoolLoad(waiting, used, total, empty, pinned, wantedMinions);
     }
 
     /**
--- a/policy/src/main/java/org/endivetray/policy/job/PoolLoad.java
+++ b/policy/src/main/java/org/endivetray/policy/job/PoolLoad.java
@@ -14,8 +14,6 @@
  * @param pinnedMinions ids of the minions that run long-running tasks, not null
  * @param wantedMinions number of minions that waiting long-running tasks need in addition to the
  *     pinned ones
- * @param releasableMinions ids of the minions that run only tasks that end by themselves, in the
- *     order in which they are expected to become empty, not null
  */
 public record PoolLoad(
         long waitingCpuMillis,
@@ -23,12 +21,10 @@
         long totalCpuMillis,
         List<String> emptyMinions,
         List<String> pinnedMinions,
-        int wantedMinions,
-        List<String> releasableMinions) {
+        int wantedMinions) {
     public PoolLoad {
         emptyMinions = List.copyOf(emptyMinions);
         pinnedMinions = List.copyOf(pinnedMinions);
-        releasableMinions = List.copyOf(releasableMinions);
     }
 
     /** Returns the ratio of the processors used and waited for to those that there are. */
--- a/policy/src/main/java/org/endivetray/policy/job/RebalancePolicy.java
+++ b/policy/src/main/java/org/endivetray/policy/job/RebalancePolicy.java
@@ -7,14 +7,10 @@
 import java.util.Map;
 
 /**
- * Decides which idle workers move to pools with too few workers for their demand, and which busy
- * ones are drained so that they can move next.
+ * Decides which idle workers move to pools with too few workers for their demand.
  *
  * <p>A pool needs enough workers for the processors that its tasks use and wait for, and never
- * gives up a worker on which a task runs. The last tasks of a peak are spread over many workers, so
- * few of them become idle while new tasks still arrive; a pool with more workers than it needs
- * therefore drains some of them for a pool with too few. Standby workers, which are switched off,
- * are taken last.
+ * gives up a worker on which a task runs. Standby workers, which are switched off, are taken last.
  *
  * <p>This class has no state and is thread-safe.
  */
@@ -28,11 +24,11 @@
     private RebalancePolicy() {}
 
     /**
-     * Returns the moves to order now and the workers to drain.
+     * Returns the moves to order now.
      *
      * @param pools the pools that can give or receive workers, not null
      */
-    public static Plan plan(List<PoolState> pools) {
+    public static List<Move> moves(List<PoolState> pools) {
         Map<String, Integer> needs = needs(pools);
         List<PoolState> receivers = new ArrayList<>();
         List<PoolState> donors = new ArrayList<>();
@@ -40,7 +36,7 @@
             int spare = pool.workers() - needs.get(pool.name());
             if (!pool.isStandby() && spare < 0) {
                 receivers.add(pool);
-            } else if (spare > 0) {
+            } else if (spare > 0 && !pool.idleWorkers().isEmpty()) {
                 donors.add(pool);
             }
         }
@@ -48,33 +44,7 @@
                 Comparator.comparingDouble(
                         pool -> pool.workers() / (double) needs.get(pool.name())));
         donors.sort(Comparator.comparing(PoolState::isStandby));
-        List<Move> moves = match(receivers, donors, needs);
-        return new Plan(moves, drains(receivers, donors, needs, moves));
-    }
-
-    /** Returns the workers to drain for the receivers that still have too few workers. */
-    private static List<Drain> drains(
-            List<PoolState> receivers,
-            List<PoolState> donors,
-            Map<String, Integer> needs,
-            List<Move> moves) {
-        int wanted = -moves.size();
-        for (PoolState receiver : receivers) {
-            wanted += needs.get(receiver.name()) - receiver.workers();
-        }
-        List<Drain> drains = new ArrayList<>();
-        for (PoolState donor : donors) {
-            long given = moves.stream().filter(move -> move.from().equals(donor.name())).count();
-            long spare = donor.workers() - needs.get(donor.name()) - given;
-            for (String worker : donor.releasableWorkers()) {
-                if (wanted > 0 && spare > 0) {
-                    drains.add(new Drain(worker, donor.name()));
-                    wanted--;
-                    spare--;
-                }
-            }
-        }
-        return drains;
+        return match(receivers, donors, needs);
     }
 
     private static List<Move> match(
@@ -139,8 +109,6 @@
      * @param workers number of workers that are in the pool or on their way to it
      * @param pinnedWorkers number of workers that long-running tasks run on or wait for
      * @param idleWorkers ids of the workers that may move now, not null
-     * @param releasableWorkers ids of the workers that run only tasks that end by themselves, in
-     *     the order in which they are expected to become idle, not null
      * @param demandCpuMillis processors that tasks use and wait for, in thousandths of a core
      * @param cpuMillisPerWorker processors of one worker, in thousandths of a core
      */
@@ -150,12 +118,10 @@
             int workers,
             int pinnedWorkers,
             List<String> idleWorkers,
-            List<String> releasableWorkers,
             long demandCpuMillis,
             int cpuMillisPerWorker) {
         public PoolState {
             idleWorkers = List.copyOf(idleWorkers);
-            releasableWorkers = List.copyOf(releasableWorkers);
         }
     }
 
@@ -169,29 +135,4 @@
      * @param to name of the pool that receives it, not null
      */
     public record Move(String worker, String from, String to) {}
-
-    /**
-     * A request that a worker take no new tasks, so that it becomes idle.
-     *
-     * <p>This class is immutable and thread-safe.
-     *
-     * @param worker the worker's id, not null
-     * @param pool name of its pool, not null
-     */
-    public record Drain(String worker, String pool) {}
-
-    /**
-     * The moves to order now and the workers to drain.
-     *
-     * <p>This class is immutable and thread-safe.
-     *
-     * @param moves the moves, not null
-     * @param drains the workers to drain, none of which moves, not null
-     */
-    public record Plan(List<Move> moves, List<Drain> drains) {
-        public Plan {
-            moves = List.copyOf(moves);
-            drains = List.copyOf(drains);
-        }
-    }
 }
--- a/policy/src/test/java/org/endivetray/policy/job/RebalancePolicyTest.java
+++ b/policy/src/test/java/org/endivetray/policy/job/RebalancePolicyTest.java
@@ -23,11 +23,7 @@
     private static PoolState state(
             String name, boolean isStandby, int workers, int idle, int pinned, long demand) {
         List<String> ids = IntStream.range(0, idle).mapToObj(i -> name + i).toList();
-        return new PoolState(name, isStandby, workers, pinned, ids, List.of(), demand, CPU);
-    }
-
-    private static List<Move> moves(List<PoolState> pools) {
-        return RebalancePolicy.plan(pools).moves();
+        return new PoolState(name, isStandby, workers, pinned, ids, demand, CPU);
     }
 
     private static long movesTo(List<Move> moves, String pool) {
@@ -36,12 +32,16 @@
 
     @Test
     void noWorkerIsMovedIfEveryPoolHasEnoughWorkers() {
-        assertEquals(List.of(), moves(List.of(pool("a", 6, 5, 1, 20_000), pool("b", 6, 6, 0, 0))));
+        assertEquals(
+                List.of(),
+                RebalancePolicy.moves(List.of(pool("a", 6, 5, 1, 20_000), pool("b", 6, 6, 0, 0))));
     }
 
     @Test
     void idleWorkersMoveToThePoolWithTooFewWorkersForItsDemand() {
-        List<Move> moves = moves(List.of(pool("a", 4, 0, 1, 200_000), pool("b", 8, 7, 1, 10_000)));
+        List<Move> moves =
+                RebalancePolicy.moves(
+                        List.of(pool("a", 4, 0, 1, 200_000), pool("b", 8, 7, 1, 10_000)));
         assertEquals(4, movesTo(moves, "a"));
         assertTrue(moves.stream().allMatch(move -> move.from().equals("b")));
     }
@@ -49,7 +49,7 @@
     @Test
     void workersThatAreSwitchedOnMoveBeforeStandbyWorkers() {
         List<Move> moves =
-                moves(
+                RebalancePolicy.moves(
                         List.of(
                                 pool("a", 4, 0, 0, 130_000),
                                 standby("off", 4),
@@ -59,14 +59,16 @@
 
     @Test
     void aPoolKeepsTheWorkersThatRunLongRunningTasks() {
-        List<Move> moves = moves(List.of(pool("a", 2, 0, 0, 500_000), pool("b", 5, 2, 4, 100_000)));
+        List<Move> moves =
+                RebalancePolicy.moves(
+                        List.of(pool("a", 2, 0, 0, 500_000), pool("b", 5, 2, 4, 100_000)));
         assertEquals(1, moves.size());
     }
 
     @Test
     void noWorkerIsMovedTwiceAtOnce() {
         List<Move> moves =
-                moves(
+                RebalancePolicy.moves(
                         List.of(
                                 pool("a", 1, 0, 0, 400_000),
                                 pool("b", 1, 0, 0, 400_000),
--- a/wire/src/gen-java/org/endivetray/wire/gen/LoadReply.java
+++ b/wire/src/gen-java/org/endivetray/wire/gen/LoadReply.java
@@ -20,7 +20,6 @@
   private static final org.apache.thrift.protocol.TField EMPTY_MINIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("emptyMinions", org.apache.thrift.protocol.TType.LIST, (short)5);
   private static final org.apache.thrift.protocol.TField PINNED_MINIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("pinnedMinions", org.apache.thrift.protocol.TType.LIST, (short)6);
   private static final org.apache.thrift.protocol.TField WANTED_MINIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("wantedMinions", org.apache.thrift.protocol.TType.I32, (short)7);
-  private static final org.apache.thrift.protocol.TField RELEASABLE_MINIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("releasableMinions", org.apache.thrift.protocol.TType.LIST, (short)8);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LoadReplyStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LoadReplyTupleSchemeFactory();
@@ -32,7 +31,6 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> emptyMinions; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> pinnedMinions; // required
   private int wantedMinions; // required
-  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> releasableMinions; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -42,8 +40,7 @@
     TOTAL_CPU_MILLIS((short)4, "totalCpuMillis"),
     EMPTY_MINIONS((short)5, "emptyMinions"),
     PINNED_MINIONS((short)6, "pinnedMinions"),
-    WANTED_MINIONS((short)7, "wantedMinions"),
-    RELEASABLE_MINIONS((short)8, "releasableMinions");
+    WANTED_MINIONS((short)7, "wantedMinions");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -73,8 +70,6 @@
           return PINNED_MINIONS;
         case 7: // WANTED_MINIONS
           return WANTED_MINIONS;
-        case 8: // RELEASABLE_MINIONS
-          return RELEASABLE_MINIONS;
         default:
           return null;
       }
@@ -124,7 +119,6 @@
   private static final int __TOTALCPUMILLIS_ISSET_ID = 3;
   private static final int __WANTEDMINIONS_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.RELEASABLE_MINIONS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -144,9 +138,6 @@
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
     tmpMap.put(_Fields.WANTED_MINIONS, new org.apache.thrift.meta_data.FieldMetaData("wantedMinions", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-    tmpMap.put(_Fields.RELEASABLE_MINIONS, new org.apache.thrift.meta_data.FieldMetaData("releasableMinions", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LoadReply.class, metaDataMap);
   }
@@ -196,10 +187,6 @@
       this.pinnedMinions = __this__pinnedMinions;
     }
     this.wantedMinions = other.wantedMinions;
-    if (other.isSetReleasableMinions()) {
-      java.util.List<java.lang.String> __this__releasableMinions = new java.util.ArrayList<java.lang.String>(other.releasableMinions);
-      this.releasableMinions = __this__releasableMinions;
-    }
   }
 
   @Override
@@ -221,7 +208,6 @@
     this.pinnedMinions = null;
     setWantedMinionsIsSet(false);
     this.wantedMinions = 0;
-    this.releasableMinions = null;
   }
 
   public boolean isIsOwner() {
@@ -421,47 +407,6 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WANTEDMINIONS_ISSET_ID, value);
   }
 
-  public int getReleasableMinionsSize() {
-    return (this.releasableMinions == null) ? 0 : this.releasableMinions.size();
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<java.lang.String> getReleasableMinionsIterator() {
-    return (this.releasableMinions == null) ? null : this.releasableMinions.iterator();
-  }
-
-  public void addToReleasableMinions(java.lang.String elem) {
-    if (this.releasableMinions == null) {
-      this.releasableMinions = new java.util.ArrayList<java.lang.String>();
-    }
-    this.releasableMinions.add(elem);
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.List<java.lang.String> getReleasableMinions() {
-    return this.releasableMinions;
-  }
-
-  public LoadReply setReleasableMinions(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> releasableMinions) {
-    this.releasableMinions = releasableMinions;
-    return this;
-  }
-
-  public void unsetReleasableMinions() {
-    this.releasableMinions = null;
-  }
-
-  /** Returns true if field releasableMinions is set (has been assigned a value) and false otherwise */
-  public boolean isSetReleasableMinions() {
-    return this.releasableMinions != null;
-  }
-
-  public void setReleasableMinionsIsSet(boolean value) {
-    if (!value) {
-      this.releasableMinions = null;
-    }
-  }
-
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -521,14 +466,6 @@
       }
       break;
 
-    case RELEASABLE_MINIONS:
-      if (value == null) {
-        unsetReleasableMinions();
-      } else {
-        setReleasableMinions((java.util.List<java.lang.String>)value);
-      }
-      break;
-
     }
   }
 
@@ -557,9 +494,6 @@
     case WANTED_MINIONS:
       return getWantedMinions();
 
-    case RELEASABLE_MINIONS:
-      return getReleasableMinions();
-
     }
     throw new java.lang.IllegalStateException();
   }
@@ -586,8 +520,6 @@
       return isSetPinnedMinions();
     case WANTED_MINIONS:
       return isSetWantedMinions();
-    case RELEASABLE_MINIONS:
-      return isSetReleasableMinions();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -668,15 +600,6 @@
         return false;
     }
 
-    boolean this_present_releasableMinions = true && this.isSetReleasableMinions();
-    boolean that_present_releasableMinions = true && that.isSetReleasableMinions();
-    if (this_present_releasableMinions || that_present_releasableMinions) {
-      if (!(this_present_releasableMinions && that_present_releasableMinions))
-        return false;
-      if (!this.releasableMinions.equals(that.releasableMinions))
-        return false;
-    }
-
     return true;
   }
 
@@ -702,10 +625,6 @@
 
     hashCode = hashCode * 8191 + wantedMinions;
 
-    hashCode = hashCode * 8191 + ((isSetReleasableMinions()) ? 131071 : 524287);
-    if (isSetReleasableMinions())
-      hashCode = hashCode * 8191 + releasableMinions.hashCode();
-
     return hashCode;
   }
 
@@ -787,16 +706,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetReleasableMinions(), other.isSetReleasableMinions());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetReleasableMinions()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.releasableMinions, other.releasableMinions);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     return 0;
   }
 
@@ -856,16 +765,6 @@
     sb.append("wantedMinions:");
     sb.append(this.wantedMinions);
     first = false;
-    if (isSetReleasableMinions()) {
-      if (!first) sb.append(", ");
-      sb.append("releasableMinions:");
-      if (this.releasableMinions == null) {
-        sb.append("null");
-      } else {
-        sb.append(this.releasableMinions);
-      }
-      first = false;
-    }
     sb.append(")");
     return sb.toString();
   }
@@ -1000,24 +899,6 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 8: // RELEASABLE_MINIONS
-            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-              {
-                org.apache.thrift.protocol.TList _list60 = iprot.readListBegin();
-                struct.releasableMinions = new java.util.ArrayList<java.lang.String>(_list60.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem61;
-                for (int _i62 = 0; _i62 < _list60.size; ++_i62)
-                {
-                  _elem61 = iprot.readString();
-                  struct.releasableMinions.add(_elem61);
-                }
-                iprot.readListEnd();
-              }
-              struct.setReleasableMinionsIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1065,9 +946,9 @@
         oprot.writeFieldBegin(EMPTY_MINIONS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.emptyMinions.size()));
-          for (java.lang.String _iter63 : struct.emptyMinions)
+          for (java.lang.String _iter60 : struct.emptyMinions)
           {
-            oprot.writeString(_iter63);
+            oprot.writeString(_iter60);
           }
           oprot.writeListEnd();
         }
@@ -1077,9 +958,9 @@
         oprot.writeFieldBegin(PINNED_MINIONS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.pinnedMinions.size()));
-          for (java.lang.String _iter64 : struct.pinnedMinions)
+          for (java.lang.String _iter61 : struct.pinnedMinions)
           {
-            oprot.writeString(_iter64);
+            oprot.writeString(_iter61);
           }
           oprot.writeListEnd();
         }
@@ -1088,20 +969,6 @@
       oprot.writeFieldBegin(WANTED_MINIONS_FIELD_DESC);
       oprot.writeI32(struct.wantedMinions);
       oprot.writeFieldEnd();
-      if (struct.releasableMinions != null) {
-        if (struct.isSetReleasableMinions()) {
-          oprot.writeFieldBegin(RELEASABLE_MINIONS_FIELD_DESC);
-          {
-            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.releasableMinions.size()));
-            for (java.lang.String _iter65 : struct.releasableMinions)
-            {
-              oprot.writeString(_iter65);
-            }
-            oprot.writeListEnd();
-          }
-          oprot.writeFieldEnd();
-        }
-      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1126,33 +993,19 @@
       oprot.writeI64(struct.totalCpuMillis);
       {
         oprot.writeI32(struct.emptyMinions.size());
-        for (java.lang.String _iter66 : struct.emptyMinions)
+        for (java.lang.String _iter62 : struct.emptyMinions)
         {
-          oprot.writeString(_iter66);
+          oprot.writeString(_iter62);
         }
       }
       {
         oprot.writeI32(struct.pinnedMinions.size());
-        for (java.lang.String _iter67 : struct.pinnedMinions)
+        for (java.lang.String _iter63 : struct.pinnedMinions)
         {
-          oprot.writeString(_iter67);
+          oprot.writeString(_iter63);
         }
       }
       oprot.writeI32(struct.wantedMinions);
-      java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetReleasableMinions()) {
-        optionals.set(0);
-      }
-      oprot.writeBitSet(optionals, 1);
-      if (struct.isSetReleasableMinions()) {
-        {
-          oprot.writeI32(struct.releasableMinions.size());
-          for (java.lang.String _iter68 : struct.releasableMinions)
-          {
-            oprot.writeString(_iter68);
-          }
-        }
-      }
     }
 
     @Override
@@ -1167,43 +1020,29 @@
       struct.totalCpuMillis = iprot.readI64();
       struct.setTotalCpuMillisIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list69 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.emptyMinions = new java.util.ArrayList<java.lang.String>(_list69.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem70;
-        for (int _i71 = 0; _i71 < _list69.size; ++_i71)
+        org.apache.thrift.protocol.TList _list64 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.emptyMinions = new java.util.ArrayList<java.lang.String>(_list64.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem65;
+        for (int _i66 = 0; _i66 < _list64.size; ++_i66)
         {
-          _elem70 = iprot.readString();
-          struct.emptyMinions.add(_elem70);
+          _elem65 = iprot.readString();
+          struct.emptyMinions.add(_elem65);
         }
       }
       struct.setEmptyMinionsIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list72 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.pinnedMinions = new java.util.ArrayList<java.lang.String>(_list72.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem73;
-        for (int _i74 = 0; _i74 < _list72.size; ++_i74)
+        org.apache.thrift.protocol.TList _list67 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.pinnedMinions = new java.util.ArrayList<java.lang.String>(_list67.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem68;
+        for (int _i69 = 0; _i69 < _list67.size; ++_i69)
         {
-          _elem73 = iprot.readString();
-          struct.pinnedMinions.add(_elem73);
+          _elem68 = iprot.readString();
+          struct.pinnedMinions.add(_elem68);
         }
       }
       struct.setPinnedMinionsIsSet(true);
       struct.wantedMinions = iprot.readI32();
       struct.setWantedMinionsIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
-      if (incoming.get(0)) {
-        {
-          org.apache.thrift.protocol.TList _list75 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.releasableMinions = new java.util.ArrayList<java.lang.String>(_list75.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem76;
-          for (int _i77 = 0; _i77 < _list75.size; ++_i77)
-          {
-            _elem76 = iprot.readString();
-            struct.releasableMinions.add(_elem76);
-          }
-        }
-        struct.setReleasableMinionsIsSet(true);
-      }
     }
   }
 
--- a/wire/src/gen-java/org/endivetray/wire/gen/StoreCall.java
+++ b/wire/src/gen-java/org/endivetray/wire/gen/StoreCall.java
@@ -1005,14 +1005,14 @@
           case 6: // CONDITIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list78 = iprot.readListBegin();
-                struct.conditions = new java.util.ArrayList<StoreItem>(_list78.size);
-                @org.apache.thrift.annotation.Nullable StoreItem _elem79;
-                for (int _i80 = 0; _i80 < _list78.size; ++_i80)
+                org.apache.thrift.protocol.TList _list70 = iprot.readListBegin();
+                struct.conditions = new java.util.ArrayList<StoreItem>(_list70.size);
+                @org.apache.thrift.annotation.Nullable StoreItem _elem71;
+                for (int _i72 = 0; _i72 < _list70.size; ++_i72)
                 {
-                  _elem79 = new StoreItem();
-                  _elem79.read(iprot);
-                  struct.conditions.add(_elem79);
+                  _elem71 = new StoreItem();
+                  _elem71.read(iprot);
+                  struct.conditions.add(_elem71);
                 }
                 iprot.readListEnd();
               }
@@ -1024,14 +1024,14 @@
           case 7: // WRITES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list81 = iprot.readListBegin();
-                struct.writes = new java.util.ArrayList<StoreWrite>(_list81.size);
-                @org.apache.thrift.annotation.Nullable StoreWrite _elem82;
-                for (int _i83 = 0; _i83 < _list81.size; ++_i83)
+                org.apache.thrift.protocol.TList _list73 = iprot.readListBegin();
+                struct.writes = new java.util.ArrayList<StoreWrite>(_list73.size);
+                @org.apache.thrift.annotation.Nullable StoreWrite _elem74;
+                for (int _i75 = 0; _i75 < _list73.size; ++_i75)
                 {
-                  _elem82 = new StoreWrite();
-                  _elem82.read(iprot);
-                  struct.writes.add(_elem82);
+                  _elem74 = new StoreWrite();
+                  _elem74.read(iprot);
+                  struct.writes.add(_elem74);
                 }
                 iprot.readListEnd();
               }
@@ -1043,13 +1043,13 @@
           case 8: // REMOVALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list84 = iprot.readListBegin();
-                struct.removals = new java.util.ArrayList<java.lang.String>(_list84.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem85;
-                for (int _i86 = 0; _i86 < _list84.size; ++_i86)
+                org.apache.thrift.protocol.TList _list76 = iprot.readListBegin();
+                struct.removals = new java.util.ArrayList<java.lang.String>(_list76.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem77;
+                for (int _i78 = 0; _i78 < _list76.size; ++_i78)
                 {
-                  _elem85 = iprot.readString();
-                  struct.removals.add(_elem85);
+                  _elem77 = iprot.readString();
+                  struct.removals.add(_elem77);
                 }
                 iprot.readListEnd();
               }
@@ -1106,9 +1106,9 @@
         oprot.writeFieldBegin(CONDITIONS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.conditions.size()));
-          for (StoreItem _iter87 : struct.conditions)
+          for (StoreItem _iter79 : struct.conditions)
           {
-            _iter87.write(oprot);
+            _iter79.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1118,9 +1118,9 @@
         oprot.writeFieldBegin(WRITES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.writes.size()));
-          for (StoreWrite _iter88 : struct.writes)
+          for (StoreWrite _iter80 : struct.writes)
           {
-            _iter88.write(oprot);
+            _iter80.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1130,9 +1130,9 @@
         oprot.writeFieldBegin(REMOVALS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.removals.size()));
-          for (java.lang.String _iter89 : struct.removals)
+          for (java.lang.String _iter81 : struct.removals)
           {
-            oprot.writeString(_iter89);
+            oprot.writeString(_iter81);
           }
           oprot.writeListEnd();
         }
@@ -1163,23 +1163,23 @@
       oprot.writeBool(struct.mayBeStale);
       {
         oprot.writeI32(struct.conditions.size());
-        for (StoreItem _iter90 : struct.conditions)
+        for (StoreItem _iter82 : struct.conditions)
         {
-          _iter90.write(oprot);
+          _iter82.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.writes.size());
-        for (StoreWrite _iter91 : struct.writes)
+        for (StoreWrite _iter83 : struct.writes)
         {
-          _iter91.write(oprot);
+          _iter83.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.removals.size());
-        for (java.lang.String _iter92 : struct.removals)
+        for (java.lang.String _iter84 : struct.removals)
         {
-          oprot.writeString(_iter92);
+          oprot.writeString(_iter84);
         }
       }
     }
@@ -1198,37 +1198,37 @@
       struct.mayBeStale = iprot.readBool();
       struct.setMayBeStaleIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list93 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.conditions = new java.util.ArrayList<StoreItem>(_list93.size);
-        @org.apache.thrift.annotation.Nullable StoreItem _elem94;
-        for (int _i95 = 0; _i95 < _list93.size; ++_i95)
+        org.apache.thrift.protocol.TList _list85 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.conditions = new java.util.ArrayList<StoreItem>(_list85.size);
+        @org.apache.thrift.annotation.Nullable StoreItem _elem86;
+        for (int _i87 = 0; _i87 < _list85.size; ++_i87)
         {
-          _elem94 = new StoreItem();
-          _elem94.read(iprot);
-          struct.conditions.add(_elem94);
+          _elem86 = new StoreItem();
+          _elem86.read(iprot);
+          struct.conditions.add(_elem86);
         }
       }
       struct.setConditionsIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list96 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.writes = new java.util.ArrayList<StoreWrite>(_list96.size);
-        @org.apache.thrift.annotation.Nullable StoreWrite _elem97;
-        for (int _i98 = 0; _i98 < _list96.size; ++_i98)
+        org.apache.thrift.protocol.TList _list88 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.writes = new java.util.ArrayList<StoreWrite>(_list88.size);
+        @org.apache.thrift.annotation.Nullable StoreWrite _elem89;
+        for (int _i90 = 0; _i90 < _list88.size; ++_i90)
         {
-          _elem97 = new StoreWrite();
-          _elem97.read(iprot);
-          struct.writes.add(_elem97);
+          _elem89 = new StoreWrite();
+          _elem89.read(iprot);
+          struct.writes.add(_elem89);
         }
       }
       struct.setWritesIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list99 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.removals = new java.util.ArrayList<java.lang.String>(_list99.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem100;
-        for (int _i101 = 0; _i101 < _list99.size; ++_i101)
+        org.apache.thrift.protocol.TList _list91 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.removals = new java.util.ArrayList<java.lang.String>(_list91.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem92;
+        for (int _i93 = 0; _i93 < _list91.size; ++_i93)
         {
-          _elem100 = iprot.readString();
-          struct.removals.add(_elem100);
+          _elem92 = iprot.readString();
+          struct.removals.add(_elem92);
         }
       }
       struct.setRemovalsIsSet(true);
--- a/wire/src/gen-java/org/endivetray/wire/gen/StoreReply.java
+++ b/wire/src/gen-java/org/endivetray/wire/gen/StoreReply.java
@@ -535,14 +535,14 @@
           case 3: // ITEMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list102 = iprot.readListBegin();
-                struct.items = new java.util.ArrayList<StoreItem>(_list102.size);
-                @org.apache.thrift.annotation.Nullable StoreItem _elem103;
-                for (int _i104 = 0; _i104 < _list102.size; ++_i104)
+                org.apache.thrift.protocol.TList _list94 = iprot.readListBegin();
+                struct.items = new java.util.ArrayList<StoreItem>(_list94.size);
+                @org.apache.thrift.annotation.Nullable StoreItem _elem95;
+                for (int _i96 = 0; _i96 < _list94.size; ++_i96)
                 {
-                  _elem103 = new StoreItem();
-                  _elem103.read(iprot);
-                  struct.items.add(_elem103);
+                  _elem95 = new StoreItem();
+                  _elem95.read(iprot);
+                  struct.items.add(_elem95);
                 }
                 iprot.readListEnd();
               }
@@ -582,9 +582,9 @@
         oprot.writeFieldBegin(ITEMS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.items.size()));
-          for (StoreItem _iter105 : struct.items)
+          for (StoreItem _iter97 : struct.items)
           {
-            _iter105.write(oprot);
+            _iter97.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -612,9 +612,9 @@
       oprot.writeI64(struct.number);
       {
         oprot.writeI32(struct.items.size());
-        for (StoreItem _iter106 : struct.items)
+        for (StoreItem _iter98 : struct.items)
         {
-          _iter106.write(oprot);
+          _iter98.write(oprot);
         }
       }
     }
@@ -627,14 +627,14 @@
       struct.number = iprot.readI64();
       struct.setNumberIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list107 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.items = new java.util.ArrayList<StoreItem>(_list107.size);
-        @org.apache.thrift.annotation.Nullable StoreItem _elem108;
-        for (int _i109 = 0; _i109 < _list107.size; ++_i109)
+        org.apache.thrift.protocol.TList _list99 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.items = new java.util.ArrayList<StoreItem>(_list99.size);
+        @org.apache.thrift.annotation.Nullable StoreItem _elem100;
+        for (int _i101 = 0; _i101 < _list99.size; ++_i101)
         {
-          _elem108 = new StoreItem();
-          _elem108.read(iprot);
-          struct.items.add(_elem108);
+          _elem100 = new StoreItem();
+          _elem100.read(iprot);
+          struct.items.add(_elem100);
         }
       }
       struct.setItemsIsSet(true);
--- a/wire/src/main/thrift/inner.thrift
+++ b/wire/src/main/thrift/inner.thrift
@@ -144,7 +144,6 @@
   5: required list<string> emptyMinions
   6: required list<string> pinnedMinions
   7: required i32 wantedMinions
-  8: optional list<string> releasableMinions
 }
 
 /** The operation that a store call asks for. */
