Report no request as not run that may have run; accept slot reports out of order

RequestRouter reported the result of the last attempt, so a repeatable request whose first attempt was lost and whose second was refused, or that then waited past its deadline, was reported as not run. SlotOwner added to an immutable set after a report out of order and lost the notification. SlotOwner copies the set; the call that stood twice is one method.

--- a/daemon/src/main/java/org/endivetray/daemon/request/RequestRouter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/RequestRouter.java
@@ -294,7 +294,7 @@
             MinionResponse minionResponse) {
         long now = System.nanoTime();
         minion.onEnded();
-        request.onAttemptEnded();
+        request.onAttemptEnded(outcome);
         service.sentRequests().remove(request);
         recordHealth(service, minion, outcome, minionResponse, now);
         mServices.onAttemptEnded(minion);
@@ -407,8 +407,9 @@
 
     /** Ends a request and passes its result to the sink, unless it has ended already. */
     private void end(RoutedRequest request, RequestResult result) {
-        if (recordEnd(request, result.code())) {
-            request.sink().end(result);
+        RequestResult reported = request.reported(result);
+        if (recordEnd(request, reported.code())) {
+            request.sink().end(reported);
         }
     }
 
--- a/daemon/src/main/java/org/endivetray/daemon/request/RoutedRequest.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/RoutedRequest.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Set;
 import org.endivetray.Member;
+import org.endivetray.Outcome;
+import org.endivetray.ResultCode;
 import org.endivetray.policy.WaitQueue;
 
 /**
@@ -35,6 +37,7 @@
     private long mSentNanos;
     private boolean mEnded;
     private boolean mCallerGone;
+    private boolean mMayHaveRun;
     private MinionClient.Attempt mCurrentAttempt;
     private MinionState mLastMinion;
 
@@ -152,8 +155,24 @@
         mSentNanos = nowNanos;
     }
 
-    void onAttemptEnded() {
+    void onAttemptEnded(AttemptOutcome outcome) {
         mCurrentAttempt = null;
+        mMayHaveRun |= !outcome.isNotRun();
+    }
+
+    /**
+     * Returns the result to report to the caller. A result that says that the request did not run
+     * is replaced if an earlier attempt may have run.
+     *
+     * @param result the result of the last attempt or of the wait for one, not null
+     */
+    RequestResult reported(RequestResult result) {
+        boolean isUntrue = mMayHaveRun && result.code().outcome() == Outcome.NOT_RUN;
+        return isUntrue
+                ? RequestResult.failed(
+                        ResultCode.ANSWER_LOST,
+                        "an earlier attempt may have run; then: " + result.detail())
+                : result;
     }
 
     void onCallerGone() {
--- a/daemon/src/main/java/org/endivetray/daemon/slots/SlotOwner.java
+++ b/daemon/src/main/java/org/endivetray/daemon/slots/SlotOwner.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -105,15 +106,7 @@
                                         mMembership.present(),
                                         now));
         allocator.setCapacity(capacityOf(service));
-        Set<String> changed =
-                allocator.onReport(
-                        daemon,
-                        report.getWaiting(),
-                        toUsages(report),
-                        report.getReportSeq(),
-                        report.getAppliedSeq(),
-                        now);
-        changed.forEach(other -> push(service, allocator, other));
+        apply(allocator, daemon, report, now).forEach(other -> push(service, allocator, other));
         return Body.slotGrant(newGrant(service, allocator, daemon));
     }
 
@@ -133,18 +126,32 @@
         if (allocator == null) {
             return;
         }
-        Set<String> changed =
-                allocator.onReport(
-                        daemon,
-                        report.getWaiting(),
-                        toUsages(report),
-                        report.getReportSeq(),
-                        report.getAppliedSeq(),
-                        System.nanoTime());
+        daemonsToNotify(allocator, daemon, report, System.nanoTime())
+                .forEach(other -> push(report.getServiceName(), allocator, other));
+    }
+
+    /**
+     * Applies the report with which a daemon has replied to a grant, and returns the daemons to
+     * which grants are to be sent, among them this one if it has not applied its latest grant.
+     */
+    static Set<String> daemonsToNotify(
+            SlotAllocator allocator, String daemon, SlotReport report, long nowNanos) {
+        Set<String> changed = new HashSet<>(apply(allocator, daemon, report, nowNanos));
         if (allocator.grantSeqOf(daemon) > report.getAppliedSeq()) {
             changed.add(daemon);
         }
-        changed.forEach(other -> push(report.getServiceName(), allocator, other));
+        return changed;
+    }
+
+    private static Set<String> apply(
+            SlotAllocator allocator, String daemon, SlotReport report, long nowNanos) {
+        return allocator.onReport(
+                daemon,
+                report.getWaiting(),
+                toUsages(report),
+                report.getReportSeq(),
+                report.getAppliedSeq(),
+                nowNanos);
     }
 
     private SlotGrant newGrant(String service, SlotAllocator allocator, String daemon) {
