Reject jobs that no owner can hold, also when they are read from the store

Cause: looked for a malformed message that takes a process down. (1) A stored job whose step comes after a step that does not exist raised an index error in each dispatch, so its pool started nothing any more, under each later owner too, and the error kept the other shards and the fleet shard of that daemon from their timed work. (2) A submission with 2,000,000,000 repetitions, or with counts whose sum exceeds 32 bits, was accepted; building its tasks exhausts the memory of the owner and of each owner after it. (3) Negative resources were accepted and freed capacity that does not exist. Change: JobSpec checks its steps, so the check holds for callers' bodies and stored records alike: 10,000 tasks an occurrence as before, 100,000 in all. An unexpected error of one shard is logged and does not reach the others.

--- a/daemon/src/main/java/org/endivetray/daemon/job/ShardLifecycle.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ShardLifecycle.java
@@ -1,5 +1,7 @@
 package org.endivetray.daemon.job;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +23,8 @@
  * <p>Only {@link #isEmpty} is thread-safe; all other methods belong to the scheduler's thread.
  */
 final class ShardLifecycle implements OwnershipManager.Listener {
+    private static final Logger LOGGER = System.getLogger(ShardLifecycle.class.getName());
+
     private final ShardContext mContext;
     private final LocalShards mLocal;
     private final Supplier<OwnershipManager> mOwnership;
@@ -94,10 +98,19 @@
 
     void tick(long nowNanos) {
         for (Shard shard : List.copyOf(mLocal.all())) {
+            tick(shard, nowNanos);
+        }
+    }
+
+    /** Runs the timed work of a shard; an unexpected error does not affect the other shards. */
+    private static void tick(Shard shard, long nowNanos) {
+        try {
             shard.tick(nowNanos);
             if (shard.isHandingOver() && shard.isFlushed() && !shard.isLost()) {
                 shard.markLost("handed over");
             }
+        } catch (RuntimeException e) {
+            LOGGER.log(Level.ERROR, "shard: unexpected error pool=" + shard.pool(), e);
         }
     }
 
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vertx.core.Future;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.daemon.job.record.StoredJob;
@@ -50,6 +51,22 @@
                                 0)));
     }
 
+    /** Stores a job in the inbox whose only step comes after another one. */
+    private void storeJobAfterStep(int number) {
+        StoredJob job =
+                new StoredJob(
+                        ShardHarness.POOL,
+                        ShardHarness.QUEUE,
+                        ShardHarness.job(ShardHarness.step(1)),
+                        0);
+        String record = new String(RecordCodec.encode(job), StandardCharsets.UTF_8);
+        String damaged = record.replace("\"after\":[]", "\"after\":[" + number + "]");
+        assertThat(damaged).isNotEqualTo(record);
+        mHarness.mStore.put(
+                JobKeys.inboxJobs(ShardHarness.POOL) + FIRST,
+                damaged.getBytes(StandardCharsets.UTF_8));
+    }
+
     @Test
     void aJobRunsStepByStepAndIsShownAsCompletedOnceStored() {
         Shard shard = startWith("m1", "m2");
@@ -361,4 +378,17 @@
         }
         assertThat(mHarness.mMinions.minion(used.get(3)).mRuns).isEmpty();
     }
+
+    @Test
+    void aStoredJobWhoseStepsCannotBeOrderedDoesNotKeepOtherJobsFromRunning() {
+        Shard first = startWith("m1");
+        storeJobAfterStep(7);
+        storeInInbox(2, ShardHarness.step(1));
+        mHarness.run(2_000, first);
+        assertThat(stateOf(first, 2)).isEqualTo(JobState.COMPLETED);
+        storeInInbox(3, ShardHarness.step(1));
+        Shard second = mHarness.takeOver();
+        mHarness.run(2_000, second);
+        assertThat(stateOf(second, 3)).isEqualTo(JobState.COMPLETED);
+    }
 }
--- a/model/src/main/java/org/endivetray/job/JobSpec.java
+++ b/model/src/main/java/org/endivetray/job/JobSpec.java
@@ -1,11 +1,13 @@
 package org.endivetray.job;
 
 import java.util.List;
+import org.endivetray.EndivetrayException;
+import org.endivetray.ResultCode;
 
 /**
  * The steps of a job, which runs once or on a schedule.
  *
- * <p>Invariants: there is at least one step.
+ * <p>Invariants: each step has at least one task and comes after earlier steps only.
  *
  * <p>This class is immutable and thread-safe.
  *
@@ -21,8 +23,67 @@
         int repetitions,
         long firstDueMillis,
         long intervalMillis) {
+    /** Most tasks of one occurrence of a job. */
+    public static final int MAX_TASKS = 10_000;
+
+    /** Most tasks of a job in all its occurrences, which bounds the memory that a job takes. */
+    public static final int MAX_TOTAL_TASKS = 100_000;
+
+    /**
+     * Constructs a job.
+     *
+     * @throws EndivetrayException with {@link ResultCode#MALFORMED_REQUEST} if the job has too many
+     *     tasks, or if a step has no task, asks for a negative amount of a resource or comes after
+     *     a step that is not an earlier one
+     */
     public JobSpec {
         steps = List.copyOf(steps);
+        for (int i = 0; i < steps.size(); i++) {
+            requireValid(steps.get(i), i);
+        }
+        long tasks = steps.stream().mapToLong(StepSpec::count).sum();
+        if (tasks > MAX_TASKS) {
+            throw malformed("the job has " + tasks + " tasks, more than " + MAX_TASKS);
+        }
+        long total = tasks * Math.max(1, repetitions);
+        if (total > MAX_TOTAL_TASKS) {
+            throw malformed(
+                    "the job has "
+                            + total
+                            + " tasks in "
+                            + repetitions
+                            + " occurrences, more than "
+                            + MAX_TOTAL_TASKS);
+        }
+    }
+
+    private static void requireValid(StepSpec step, int number) {
+        boolean isAfterEarlier =
+                step.after().stream().allMatch(earlier -> earlier >= 0 && earlier < number);
+        if (step.count() < 1 || !isAfterEarlier) {
+            throw malformed(
+                    "step "
+                            + number
+                            + " must have a positive 'count' and only earlier steps in 'after': "
+                            + step.count()
+                            + " and "
+                            + step.after());
+        }
+        if (step.cpuMillis() < 0 || step.memoryMb() < 0 || step.gpus() < 0) {
+            throw malformed(
+                    "step "
+                            + number
+                            + " must not ask for a negative amount: cpu "
+                            + step.cpuMillis()
+                            + ", memory "
+                            + step.memoryMb()
+                            + " MB, gpus "
+                            + step.gpus());
+        }
+    }
+
+    private static EndivetrayException malformed(String message) {
+        return new EndivetrayException(ResultCode.MALFORMED_REQUEST, message);
     }
 
     /** Returns the number of times that the steps run. */
