Test silent and departed minions and paused owners around a change of owner

Cause: operators of similar systems report silent machines whose work was started again, departed servers in use after a restart, and orders of a process that had been paused. Change: OwnerChangesTest, four cases on the shard's own code.

--- /dev/null
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/OwnerChangesTest.java
@@ -0,0 +1,97 @@
+package org.endivetray.daemon.job.shard;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.endivetray.job.TaskEnd;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests minions that leave or are silent, and owners that were paused, around a change of the
+ * shard's owner.
+ *
+ * <p>This class is not thread-safe.
+ */
+class OwnerChangesTest {
+    private final ShardHarness mHarness = new ShardHarness();
+
+    private Shard startWith(String... minions) {
+        for (String minion : minions) {
+            mHarness.addMinion(minion);
+        }
+        Shard shard = mHarness.takeOver();
+        mHarness.run(300, shard);
+        return shard;
+    }
+
+    private void letTasksRunFor(long millis) {
+        mHarness.mMinions.mBehaviour =
+                (task, run) -> new VirtualMinions.Outcome(millis, TaskEnd.DONE);
+    }
+
+    @Test
+    void aMinionThatHasLeftGetsNoTasksFromANewOwnerAlthoughItIsRecordedAndAnswers() {
+        Shard first = startWith("m1", "m2");
+        mHarness.submit(first, 1, ShardHarness.step(4));
+        mHarness.run(2_000, first);
+        mHarness.mRegistered.removeIf(info -> info.id().equals("m2"));
+        int before = mHarness.mMinions.mStarts.size();
+        Shard second = mHarness.takeOver();
+        mHarness.run(300, second);
+        mHarness.submit(second, 2, ShardHarness.step(8));
+        mHarness.run(2_000, second);
+        List<String> used =
+                mHarness.mMinions.mStarts.stream()
+                        .skip(before)
+                        .map(start -> start.minion())
+                        .distinct()
+                        .toList();
+        assertThat(used).containsExactly("m1");
+    }
+
+    @Test
+    void aMinionThatIsSilentForHalfOfItsLeaseKeepsItsTasks() {
+        letTasksRunFor(60_000);
+        Shard shard = startWith("m1", "m2");
+        mHarness.submit(shard, 1, ShardHarness.step(1));
+        mHarness.run(200, shard);
+        String used = mHarness.mMinions.mStarts.get(0).minion();
+        mHarness.mMinions.minion(used).mIsUnreachable = true;
+        mHarness.run(3_000, shard);
+        mHarness.mMinions.minion(used).mIsUnreachable = false;
+        mHarness.run(10_000, shard);
+        assertThat(mHarness.mMinions.mStarts).hasSize(1);
+        assertThat(mHarness.mMinions.minion(used).mRuns).hasSize(1);
+    }
+
+    @Test
+    void aSilentMinionKeepsItsTasksAlsoIfTheOwnerChangesMeanwhile() {
+        letTasksRunFor(60_000);
+        Shard first = startWith("m1", "m2");
+        mHarness.submit(first, 1, ShardHarness.step(1));
+        mHarness.run(200, first);
+        String used = mHarness.mMinions.mStarts.get(0).minion();
+        mHarness.mMinions.minion(used).mIsUnreachable = true;
+        Shard second = mHarness.takeOver();
+        mHarness.run(3_000, second);
+        mHarness.mMinions.minion(used).mIsUnreachable = false;
+        mHarness.run(10_000, second);
+        assertThat(mHarness.mMinions.mStarts).hasSize(1);
+        assertThat(mHarness.mMinions.minion(used).mRuns).hasSize(1);
+    }
+
+    @Test
+    void anOwnerThatWasPausedStartsNothingOnceItsSuccessorIsAtWork() {
+        letTasksRunFor(60_000);
+        Shard first = startWith("m1", "m2");
+        mHarness.run(200, first);
+        // The first owner is paused before it has started the tasks of its job.
+        mHarness.submit(first, 1, ShardHarness.step(2));
+        Shard second = mHarness.takeOver();
+        mHarness.run(5_000, second);
+        int before = mHarness.mMinions.mStarts.size();
+        mHarness.run(5_000, first, second);
+        assertThat(first.isLost()).isTrue();
+        assertThat(mHarness.mMinions.mStarts).hasSize(before);
+    }
+}
