--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -31,7 +31,6 @@
 import org.endivetray.daemon.observe.LogSetup;
 import org.endivetray.job.SiteConfig;
 import org.endivetray.platform.PlacementAdvisor;
-import org.endivetray.platform.SharedStore;
 import org.endivetray.platform.site.SiteHttpServer;
 import org.endivetray.platform.site.SiteMinionOrders;
 import org.endivetray.platform.site.SitePlacementAdvisor;
@@ -83,7 +82,7 @@
     private final Vertx mVertx;
     private final Duty mScheduler;
     private final DutyExecutor mExecutor;
-    private final SharedStore mStore;
+    private final RelayingStore mStore;
     private final SiteWatch mSite;
     private final OwnershipWatch mOwners;
     private final MinionDirectory mMinions;
@@ -109,16 +108,7 @@
         JobMetrics metrics = new JobMetrics();
         LocalShards local = new LocalShards(mExecutor);
         Peers peers = new Peers(mVertx, settings.name(), incarnation);
-        RelayingStore store =
-                new RelayingStore(
-                        new SiteStore(
-                                mVertx,
-                                settings.store().host(),
-                                settings.store().port(),
-                                STORE_MAX_MILLIS),
-                        new StorePeers(settings.name(), this::ownershipView, peers),
-                        System::nanoTime);
-        mStore = store;
+        mStore = relayingStore(peers);
         mSite = new SiteWatch(mStore, mExecutor, this::onSiteChange);
         mOwners = new OwnershipWatch(mStore, mExecutor, () -> {});
         PoolRequestHandler pools = new PoolRequestHandler(local, mExecutor);
@@ -147,7 +137,7 @@
                         local,
                         peers,
                         mStore,
-                        store::reach,
+                        mStore::reach,
                         metrics);
         mHttpServer = new SiteHttpServer(mVertx, mRouter);
         mPeerServer =
@@ -155,7 +145,7 @@
                         mVertx,
                         settings.name(),
                         incarnation,
-                        new PeerMessageHandler(mRouter, pools, new StoreCallHandler(store)));
+                        new PeerMessageHandler(mRouter, pools, new StoreCallHandler(mStore)));
         mMetricsServer = new MetricsServer(mVertx, metrics);
         mOwnership =
                 new OwnershipManager(
@@ -167,6 +157,14 @@
                         mShards);
     }
 
+    private RelayingStore relayingStore(Peers peers) {
+        JobSettings.Address address = mSettings.store();
+        return new RelayingStore(
+                new SiteStore(mVertx, address.host(), address.port(), STORE_MAX_MILLIS),
+                new StorePeers(mSettings.name(), this::ownershipView, peers),
+                System::nanoTime);
+    }
+
     private static OwnershipView.DaemonRecord self(JobSettings settings, long incarnation) {
         return new OwnershipView.DaemonRecord(
                 settings.name(),
