Give callers that the store's absence turns away four tries within three seconds; one way to start a shard in tests

Cause: during an outage of the store for all, a refusal came with 1 s, so callers, who try four more times within 3 s, made three tries and ended before their last chance; startWith stood in two test classes. Change: 0.7 s for STORE_AWAY; ShardHarness.startWith. Result: ShardTest, OwnerChangesTest (24).

--- a/daemon/src/main/java/org/endivetray/daemon/job/relay/StoreReach.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/relay/StoreReach.java
@@ -8,8 +8,11 @@
 public enum StoreReach {
     /** The store answers this daemon or one of its peers. */
     REACHED(0),
-    /** Neither this daemon nor the peers that it asked reach the store; it may be down. */
-    STORE_AWAY(1_000),
+    /**
+     * Neither this daemon nor the peers that it asked reach the store; it may be down. Callers
+     * usually try four more times within 3 s.
+     */
+    STORE_AWAY(700),
     /** Neither the store nor a peer answers; another daemon probably reaches both. */
     ISOLATED(100);
 
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/OwnerChangesTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/OwnerChangesTest.java
@@ -15,15 +15,6 @@
 class OwnerChangesTest {
     private final ShardHarness mHarness = new ShardHarness();
 
-    private Shard startWith(String... minions) {
-        for (String minion : minions) {
-            mHarness.addMinion(minion);
-        }
-        Shard shard = mHarness.takeOver();
-        mHarness.run(300, shard);
-        return shard;
-    }
-
     private void letTasksRunFor(long millis) {
         mHarness.mMinions.mBehaviour =
                 (task, run) -> new VirtualMinions.Outcome(millis, TaskEnd.DONE);
@@ -31,7 +22,7 @@
 
     @Test
     void aMinionThatHasLeftGetsNoTasksFromANewOwnerAlthoughItIsRecordedAndAnswers() {
-        Shard first = startWith("m1", "m2");
+        Shard first = mHarness.startWith("m1", "m2");
         mHarness.submit(first, 1, ShardHarness.step(4));
         mHarness.run(2_000, first);
         mHarness.mRegistered.removeIf(info -> info.id().equals("m2"));
@@ -52,7 +43,7 @@
     @Test
     void aMinionThatIsSilentForHalfOfItsLeaseKeepsItsTasks() {
         letTasksRunFor(60_000);
-        Shard shard = startWith("m1", "m2");
+        Shard shard = mHarness.startWith("m1", "m2");
         mHarness.submit(shard, 1, ShardHarness.step(1));
         mHarness.run(200, shard);
         String used = mHarness.mMinions.mStarts.get(0).minion();
@@ -67,7 +58,7 @@
     @Test
     void aSilentMinionKeepsItsTasksAlsoIfTheOwnerChangesMeanwhile() {
         letTasksRunFor(60_000);
-        Shard first = startWith("m1", "m2");
+        Shard first = mHarness.startWith("m1", "m2");
         mHarness.submit(first, 1, ShardHarness.step(1));
         mHarness.run(200, first);
         String used = mHarness.mMinions.mStarts.get(0).minion();
@@ -83,7 +74,7 @@
     @Test
     void anOwnerThatWasPausedStartsNothingOnceItsSuccessorIsAtWork() {
         letTasksRunFor(60_000);
-        Shard first = startWith("m1", "m2");
+        Shard first = mHarness.startWith("m1", "m2");
         mHarness.run(200, first);
         // The first owner is paused before it has started the tasks of its job.
         mHarness.submit(first, 1, ShardHarness.step(2));
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
@@ -38,6 +38,16 @@
         mRegistered.add(mMinions.add(id, POOL, 8_000));
     }
 
+    /** Adds minions and returns an owner of the pool's shard that has been at work for a while. */
+    Shard startWith(String... minions) {
+        for (String minion : minions) {
+            addMinion(minion);
+        }
+        Shard shard = takeOver();
+        run(300, shard);
+        return shard;
+    }
+
     /** Returns a new owner of the pool's shard, without notifying the previous one. */
     Shard takeOver() {
         long token = mStore.put(JobKeys.OWNER_PREFIX + POOL, new byte[] {1});
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
@@ -26,15 +26,6 @@
 
     private static final String FIRST = ShardHarness.id(1);
 
-    private Shard startWith(String... minions) {
-        for (String minion : minions) {
-            mHarness.addMinion(minion);
-        }
-        Shard shard = mHarness.takeOver();
-        mHarness.run(300, shard);
-        return shard;
-    }
-
     private JobState stateOf(Shard shard, int number) {
         return shard.state(ShardHarness.id(number)).result().state();
     }
@@ -69,7 +60,7 @@
 
     @Test
     void aJobRunsStepByStepAndIsShownAsCompletedOnceStored() {
-        Shard shard = startWith("m1", "m2");
+        Shard shard = mHarness.startWith("m1", "m2");
         Future<JobAnswer> answer =
                 mHarness.submit(shard, 1, ShardHarness.step(4), ShardHarness.step(2, 0));
         mHarness.run(100, shard);
@@ -83,7 +74,7 @@
 
     @Test
     void aRepeatedSubmissionAddsNoSecondJob() {
-        Shard shard = startWith("m1");
+        Shard shard = mHarness.startWith("m1");
         mHarness.submit(shard, 1, ShardHarness.step(1));
         mHarness.submit(shard, 1, ShardHarness.step(1));
         mHarness.run(50, shard);
@@ -95,7 +86,7 @@
 
     @Test
     void aSubmissionThatTheStoreRefusesIsRefusedAndNeverRuns() {
-        Shard shard = startWith("m1");
+        Shard shard = mHarness.startWith("m1");
         mHarness.mStore.mMode = VirtualStore.Mode.REFUSING;
         Future<JobAnswer> answer = mHarness.submit(shard, 1, ShardHarness.step(1));
         mHarness.run(500, shard);
@@ -107,7 +98,7 @@
 
     @Test
     void aSubmissionWhoseAnswerTheStoreLostIsNotRefused() {
-        Shard shard = startWith("m1");
+        Shard shard = mHarness.startWith("m1");
         mHarness.mStore.mMode = VirtualStore.Mode.ANSWERS_LOST;
         Future<JobAnswer> answer = mHarness.submit(shard, 1, ShardHarness.step(1));
         mHarness.run(1_000, shard);
@@ -125,7 +116,7 @@
     void theFailuresOfATaskOnTwoMinionsAllCountAfterATakeoverWhenTheEarlierOneIsListedLast() {
         mHarness.mMinions.mBehaviour =
                 (task, run) -> new VirtualMinions.Outcome(300, TaskEnd.FAILED);
-        Shard first = startWith("m1", "m2");
+        Shard first = mHarness.startWith("m1", "m2");
         mHarness.submit(first, 1, ShardHarness.step(1));
         mHarness.run(40, first);
         mHarness.mStore.mMode = VirtualStore.Mode.UNRESPONSIVE;
@@ -148,7 +139,7 @@
 
     @Test
     void aNewOwnerAdoptsRunningTasksAndStartsNoneTwice() {
-        Shard first = startWith("m1", "m2");
+        Shard first = mHarness.startWith("m1", "m2");
         mHarness.submit(first, 1, ShardHarness.step(6));
         mHarness.run(100, first);
         Shard second = mHarness.takeOver();
@@ -162,7 +153,7 @@
     void noTaskOfAnUnreachableMinionStartsElsewhereBeforeItsLeaseHasExpired() {
         mHarness.mMinions.mBehaviour =
                 (task, run) -> new VirtualMinions.Outcome(60_000, TaskEnd.DONE);
-        Shard shard = startWith("m1", "m2");
+        Shard shard = mHarness.startWith("m1", "m2");
         mHarness.submit(shard, 1, ShardHarness.step(1));
         mHarness.run(200, shard);
         String used = mHarness.mMinions.mStarts.get(0).minion();
@@ -179,7 +170,7 @@
 
     @Test
     void aStartThatIsCarriedOutLateNeverRunsAlongWithItsReplacement() {
-        Shard shard = startWith("m1", "m2");
+        Shard shard = mHarness.startWith("m1", "m2");
         mHarness.mMinions.minion("m1").mOrderDelayMillis = 3_000;
         mHarness.mMinions.minion("m2").mOrderDelayMillis = 3_000;
         mHarness.submit(shard, 1, ShardHarness.step(1));
@@ -196,7 +187,7 @@
     void aCancelledJobIsStoppedEverywhereAndStartsNoMoreTasks() {
         mHarness.mMinions.mBehaviour =
                 (task, run) -> new VirtualMinions.Outcome(60_000, TaskEnd.DONE);
-        Shard shard = startWith("m1");
+        Shard shard = mHarness.startWith("m1");
         mHarness.submit(shard, 1, ShardHarness.step(3), ShardHarness.step(2, 0));
         mHarness.run(200, shard);
         Future<JobAnswer> answer = shard.cancel(FIRST);
@@ -210,7 +201,7 @@
 
     @Test
     void aJobThatAnotherDaemonStoredInTheInboxIsRun() {
-        Shard shard = startWith("m1");
+        Shard shard = mHarness.startWith("m1");
         storeInInbox(1, ShardHarness.step(2));
         mHarness.run(2_000, shard);
         assertThat(stateOf(shard, 1)).isEqualTo(JobState.COMPLETED);
@@ -218,7 +209,7 @@
 
     @Test
     void aNewIncarnationOfAMinionRunsItsLostTasksAgain() {
-        Shard shard = startWith("m1");
+        Shard shard = mHarness.startWith("m1");
         mHarness.submit(shard, 1, ShardHarness.step(2));
         mHarness.run(100, shard);
         mHarness.mMinions.minion("m1").restart();
@@ -229,7 +220,7 @@
 
     @Test
     void theOwnerStartsTasksDuringAStoreOutageAndShowsNoJobAsCompletedBeforeItIsStored() {
-        Shard shard = startWith("m1");
+        Shard shard = mHarness.startWith("m1");
         mHarness.submit(shard, 1, ShardHarness.step(1), ShardHarness.step(1, 0));
         mHarness.run(100, shard);
         mHarness.mStore.mMode = VirtualStore.Mode.REFUSING;
@@ -246,7 +237,7 @@
     void aNewOwnerReportsAMinionAsEmptyOnlyAfterItHasAnswered() {
         mHarness.mMinions.mBehaviour =
                 (task, run) -> new VirtualMinions.Outcome(60_000, TaskEnd.DONE);
-        Shard first = startWith("m1");
+        Shard first = mHarness.startWith("m1");
         mHarness.submit(first, 1, ShardHarness.step(1));
         mHarness.run(200, first);
         mHarness.mMinions.minion("m1").mIsUnreachable = true;
@@ -271,7 +262,7 @@
                         new VirtualMinions.Outcome(
                                 task.startsWith(ShardHarness.id(2)) && run == 1 ? 60_000 : 300,
                                 TaskEnd.DONE);
-        Shard shard = startWith("m1", "m2");
+        Shard shard = mHarness.startWith("m1", "m2");
         mHarness.submit(shard, 1, ShardHarness.step(8));
         mHarness.run(1_000, shard);
         mHarness.submit(shard, 2, ShardHarness.step(1));
@@ -282,7 +273,7 @@
 
     @Test
     void aNewOwnerDoesNotWaitForMinionsThatWereTerminatedOrUnregisteredLongAgo() {
-        Shard first = startWith("m1", "m2", "m3");
+        Shard first = mHarness.startWith("m1", "m2", "m3");
         mHarness.run(200, first);
         mHarness.mRegistered.removeIf(info -> !info.id().equals("m1"));
         mHarness.mMinions.minion("m2").mIsUnreachable = true;
@@ -301,7 +292,7 @@
     void aTaskOnAnUnresponsiveMinionCountsAsUnavailableWhenAnotherMinionIsDrained() {
         mHarness.mMinions.mBehaviour =
                 (task, run) -> new VirtualMinions.Outcome(600_000, TaskEnd.DONE);
-        Shard shard = startWith("m1", "m2", "m3");
+        Shard shard = mHarness.startWith("m1", "m2", "m3");
         StepSpec longRunningStep =
                 new StepSpec(
                         3, 1_000, 100, 0, 0, List.of(), false, false, false, "", "", 1, false, true,
@@ -322,7 +313,7 @@
     void aJobWhoseStartOrderWasNotCarriedOutIsQueuedAndPending() {
         mHarness.mMinions.mBehaviour =
                 (task, run) -> new VirtualMinions.Outcome(60_000, TaskEnd.DONE);
-        Shard shard = startWith("m1");
+        Shard shard = mHarness.startWith("m1");
         mHarness.mMinions.minion("m1").mIsUnreachable = true;
         mHarness.submit(shard, 1, ShardHarness.step(1));
         mHarness.run(2_000, shard);
@@ -338,7 +329,7 @@
     @Test
     void aJobWhoseStartWasNotAnsweredIsRunningOnceItsEndIsListed() {
         mHarness.mMinions.mBehaviour = (task, run) -> new VirtualMinions.Outcome(50, TaskEnd.DONE);
-        Shard shard = startWith("m1");
+        Shard shard = mHarness.startWith("m1");
         mHarness.mMinions.minion("m1").mOrderDelayMillis = 200;
         mHarness.submit(shard, 1, ShardHarness.step(1), ShardHarness.step(1, 0));
         mHarness.run(100, shard);
@@ -354,7 +345,7 @@
     void theMinionThatHasWaitedLongestToBeDrainedGivesUpItsTasksFirst() {
         mHarness.mMinions.mBehaviour =
                 (task, run) -> new VirtualMinions.Outcome(600_000, TaskEnd.DONE);
-        Shard shard = startWith("m1", "m2", "m3", "m4", "m5");
+        Shard shard = mHarness.startWith("m1", "m2", "m3", "m4", "m5");
         StepSpec longRunningStep =
                 new StepSpec(
                         4, 1_000, 100, 0, 0, List.of(), false, false, false, "", "", 1, false, true,
@@ -381,7 +372,7 @@
 
     @Test
     void aStoredJobWhoseStepsCannotBeOrderedDoesNotKeepOtherJobsFromRunning() {
-        Shard first = startWith("m1");
+        Shard first = mHarness.startWith("m1");
         storeJobAfterStep(7);
         storeInInbox(2, ShardHarness.step(1));
         mHarness.run(2_000, first);
