Answer at once that the outcome is unknown while isolated; refuse nothing that may have been accepted

And while no peer reaches the store, the owner still knows which jobs it has accepted, so it should be asked as before. Change: an isolated daemon answers unknown at once, so that the caller asks again elsewhere with the same id; all other states take the usual way. StoreReach and its times are gone; RelayingStore tells whether it is isolated.

--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -137,7 +137,7 @@
                         local,
                         peers,
                         mStore,
-                        mStore::reach,
+                        mStore::isIsolated,
                         metrics);
         mHttpServer = new SiteHttpServer(mVertx, mRouter);
         mPeerServer =
--- a/daemon/src/main/java/org/endivetray/daemon/job/relay/RelayingStore.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/relay/RelayingStore.java
@@ -41,7 +41,7 @@
     private final StorePeers mPeers;
     private final LongSupplier mNanoTime;
     private final StorePath mPath = new StorePath();
-    private volatile StoreReach mRelayReach = StoreReach.REACHED;
+    private volatile boolean mIsRelayUnanswered;
     private final Set<Promise<?>> mDirectWatches = ConcurrentHashMap.newKeySet();
     private final Set<Promise<?>> mRelayedWatches = ConcurrentHashMap.newKeySet();
 
@@ -68,21 +68,17 @@
         return mPath.isUsable();
     }
 
-    /** Returns how far this daemon reaches the store, directly or through its peers. */
-    public StoreReach reach() {
-        return mPath.isUsable() ? StoreReach.REACHED : mRelayReach;
+    /**
+     * Returns whether neither the store nor the peers answer this daemon, so that it can do nothing
+     * for callers that another daemon could not do sooner.
+     */
+    public boolean isIsolated() {
+        return !mPath.isUsable() && mIsRelayUnanswered;
     }
 
     private Future<StoreReply> relay(StoreCall call, long timeoutMillis) {
         return mPeers.send(call, timeoutMillis)
-                .onSuccess(
-                        reply ->
-                                mRelayReach =
-                                        switch (reply.getStatus()) {
-                                            case NOT_REACHED -> StoreReach.STORE_AWAY;
-                                            case UNKNOWN -> StoreReach.ISOLATED;
-                                            default -> StoreReach.REACHED;
-                                        });
+                .onSuccess(reply -> mIsRelayUnanswered = reply.getStatus() == StoreStatus.UNKNOWN);
     }
 
     @Override
--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/JobRouter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/JobRouter.java
@@ -5,11 +5,11 @@
 import java.lang.System.Logger.Level;
 import java.util.Locale;
 import java.util.OptionalInt;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.endivetray.EndivetrayException;
 import org.endivetray.daemon.job.ownership.OwnershipView;
 import org.endivetray.daemon.job.peer.PeerClient;
-import org.endivetray.daemon.job.relay.StoreReach;
 import org.endivetray.daemon.observe.JobMetrics;
 import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobAnswer.Verdict;
@@ -49,7 +49,7 @@
     private final JobMetrics mMetrics;
     private final String mName;
     private final PendingCounts mPendingCounts = new PendingCounts();
-    private final Supplier<StoreReach> mReach;
+    private final BooleanSupplier mIsIsolated;
     private volatile boolean mIsReady;
     private volatile boolean mIsStopping;
 
@@ -62,7 +62,7 @@
      * @param local the shards that this daemon owns, not null
      * @param peers the other daemons, not null
      * @param store the shared store, not null
-     * @param reach supplies how far this daemon reaches the store, not null
+     * @param isIsolated returns whether neither the store nor the peers answer, not null
      * @param metrics counters and histograms, not null
      */
     public JobRouter(
@@ -72,7 +72,7 @@
             LocalShards local,
             PeerClient peers,
             SharedStore store,
-            Supplier<StoreReach> reach,
+            BooleanSupplier isIsolated,
             JobMetrics metrics) {
         mName = name;
         mConfig = config;
@@ -80,7 +80,7 @@
         mLocal = local;
         mPeers = peers;
         mFallback = new StoreFallback(store);
-        mReach = reach;
+        mIsIsolated = isIsolated;
         mMetrics = metrics;
     }
 
@@ -99,7 +99,7 @@
 
     @Override
     public boolean isReady() {
-        return mIsReady && !mIsStopping && mReach.get() != StoreReach.ISOLATED;
+        return mIsReady && !mIsStopping && !mIsIsolated.getAsBoolean();
     }
 
     @Override
@@ -128,13 +128,11 @@
                     e.getMessage());
             return Future.succeededFuture(JobAnswer.malformed(e.getMessage()));
         }
-        StoreReach reach = mReach.get();
-        if (!reach.canStore() && !mLocal.owns(queue.pool())) {
-            // Nothing has been sent yet, so the job certainly does not run because of this request.
-            LOGGER.log(Level.INFO, "front: submit refused job={0} reach={1}", id, reach);
+        if (mIsIsolated.getAsBoolean() && !mLocal.owns(queue.pool())) {
+            // An earlier attempt may have been accepted elsewhere, so this is not a refusal.
+            LOGGER.log(Level.INFO, "front: submit not tried job={0} reason=isolated", id);
             return Future.succeededFuture(
-                    JobAnswer.refused(
-                            reach.retryAfterMillis(), "this daemon cannot store jobs now"));
+                    JobAnswer.unknown("neither the store nor another daemon answers"));
         }
         return route(JobAction.SUBMIT, queue, id, body, () -> mFallback.submit(queue, id, spec));
     }
--- a/daemon/src/test/java/org/endivetray/daemon/job/relay/RelayingStoreTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/relay/RelayingStoreTest.java
@@ -233,17 +233,17 @@
         Daemon cut = start("a");
         Daemon peer = start("b");
         mExecutor.advance(1_000);
-        assertThat(cut.mRelaying.reach()).isEqualTo(StoreReach.REACHED);
+        assertThat(cut.mRelaying.isIsolated()).isFalse();
         cut.mDirect.mPath = Path.REFUSED;
         peer.mDirect.mPath = Path.REFUSED;
         mExecutor.advance(3_000);
-        assertThat(cut.mRelaying.reach()).isEqualTo(StoreReach.STORE_AWAY);
+        assertThat(cut.mRelaying.isIsolated()).isFalse();
         peer.mIsSilent = true;
         mExecutor.advance(3_000);
-        assertThat(cut.mRelaying.reach()).isEqualTo(StoreReach.ISOLATED);
+        assertThat(cut.mRelaying.isIsolated()).isTrue();
         cut.mDirect.mPath = Path.UP;
         mExecutor.advance(3_000);
-        assertThat(cut.mRelaying.reach()).isEqualTo(StoreReach.REACHED);
+        assertThat(cut.mRelaying.isIsolated()).isFalse();
     }
 
     @Test
