Let the tests of relayed renewals fail without the relay

Cause: checked before landing whether the tests of the relay fail without it. The two that an owner keeps its shards did not: the virtual store lets no lease expire, so an owner without a path kept its shards as well. Change: the test records when the store last renewed each lease and requires that the owner's never lapses while its path fails; the assertions that it had before stay.

--- a/daemon/src/test/java/org/endivetray/daemon/job/relay/RelayingStoreTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/relay/RelayingStoreTest.java
@@ -34,15 +34,20 @@
 class RelayingStoreTest {
     private static final long SETTLE_MILLIS = 400;
     private static final long TICK_MILLIS = 10;
+
+    /** Time to live of a daemon's lease; the virtual store lets no lease expire by itself. */
+    private static final long LEASE_MILLIS = 2_500;
+
     private static final String KEY = "endivetray/job/k";
 
     private final VirtualExecutor mExecutor = new VirtualExecutor();
     private final VirtualStore mStore = new VirtualStore(mExecutor);
+    private final Map<Long, Long> mRenewedMillis = new TreeMap<>();
     private final Map<String, Daemon> mDaemons = new TreeMap<>();
 
     /** A daemon that reaches the store directly or through the others. */
     private final class Daemon implements OwnershipManager.Listener {
-        final UnreliableStore mDirect = new UnreliableStore(mStore, mExecutor);
+        final UnreliableStore mDirect = new UnreliableStore(mStore, mExecutor, mRenewedMillis);
         final RelayingStore mRelaying;
         final Map<String, Long> mTokens = new HashMap<>();
         private final OwnershipManager mOwnership;
@@ -129,16 +134,23 @@
                 List.of());
     }
 
-    /** Asserts that an owner keeps its shards for several leases on a failing path. */
+    /**
+     * Asserts that an owner keeps its lease and its shards for longer than a lease on a failing
+     * path.
+     */
     private void assertKeepsShards(Path path) {
         Daemon owner = start("a");
         mExecutor.advance(4 * SETTLE_MILLIS);
         Map<String, Long> tokens = Map.copyOf(owner.mTokens);
         assertThat(tokens).hasSize(2);
+        long lease = mRenewedMillis.keySet().iterator().next();
         Daemon other = start("b");
         mExecutor.advance(SETTLE_MILLIS);
         owner.mDirect.mPath = path;
-        mExecutor.advance(3_500);
+        for (int i = 0; i < 35; i++) {
+            mExecutor.advance(100);
+            assertThat(mExecutor.millis() - mRenewedMillis.get(lease)).isLessThan(LEASE_MILLIS);
+        }
         assertThat(owner.mTokens).isEqualTo(tokens);
         assertThat(other.mTokens).isEmpty();
     }
--- a/daemon/src/test/java/org/endivetray/daemon/job/relay/UnreliableStore.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/relay/UnreliableStore.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Supplier;
 import org.endivetray.EndivetrayException;
 import org.endivetray.ResultCode;
@@ -20,6 +21,7 @@
 
     private final SharedStore mStore;
     private final VirtualExecutor mExecutor;
+    private final Map<Long, Long> mRenewedMillis;
     Path mPath = Path.UP;
 
     /** How calls on the path fail. */
@@ -34,7 +36,15 @@
         ANSWERS_LOST
     }
 
-    UnreliableStore(SharedStore store, VirtualExecutor executor) {
+    /**
+     * Constructs a path that does not fail.
+     *
+     * @param store the store, not null
+     * @param executor the virtual clock, not null
+     * @param renewedMillis receives the time at which the store last renewed each lease, not null
+     */
+    UnreliableStore(SharedStore store, VirtualExecutor executor, Map<Long, Long> renewedMillis) {
+        mRenewedMillis = renewedMillis;
         mStore = store;
         mExecutor = executor;
     }
@@ -90,7 +100,12 @@
 
     @Override
     public Future<Boolean> renewLease(long lease) {
-        return call(() -> mStore.renewLease(lease), TIMEOUT_MILLIS);
+        return call(
+                () -> {
+                    mRenewedMillis.put(lease, mExecutor.millis());
+                    return mStore.renewLease(lease);
+                },
+                TIMEOUT_MILLIS);
     }
 
     @Override
