Bound the memory that accepted jobs take: load occurrences when due

Cause: the owner kept an entry for each task of each occurrence of each accepted job; limits held for one job and for the number of jobs, none for their sum. The OutOfMemoryError ended the scheduler's thread, which Duty let pass, as it caught runtime exceptions only.

Change: the tasks of an occurrence are in memory from its due time until it is done or its job has ended; MemoryLimit bounds what a backlog loads and refuses new jobs at once when their records fill their share. Progress names occurrences that are done by number. A duty survives an error of one piece of work; when the memory is exhausted, the process ends at once. Cancelled jobs give their tasks up too; a shard that was lost ignores listings under way, which could lead to stop orders.

--- a/daemon/src/main/java/org/endivetray/daemon/duty/Duty.java
+++ b/daemon/src/main/java/org/endivetray/daemon/duty/Duty.java
@@ -17,6 +17,10 @@
  * <p>Work runs in the order in which it was queued. When a tick has passed, the periodic work runs
  * after the batch in progress or, while the ring is empty, when the wait for work times out.
  *
+ * <p>An error in one piece of work, such as a stack overflow, is logged and does not affect the
+ * others. When the memory is exhausted, the process ends at once, since it would no longer do what
+ * other processes rely on; they take over its duties.
+ *
  * <p>Invariants: accepted work runs exactly once unless the duty is stopped; no two pieces of work
  * run concurrently.
  *
@@ -25,12 +29,16 @@
 public final class Duty {
     private static final Logger LOGGER = System.getLogger(Duty.class.getName());
 
+    /** Exit status of a process whose memory is exhausted, as the runtime itself uses. */
+    private static final int OUT_OF_MEMORY_STATUS = 3;
+
     private final String mName;
     private final Disruptor<RingEntry> mDisruptor;
     private final RingBuffer<RingEntry> mRing;
     private final int mReservedEntries;
     private final long mTickNanos;
     private final Runnable mOnTick;
+    private final Runnable mOnOutOfMemory;
     private long mLastTickNanos;
     private volatile Thread mThread;
 
@@ -43,6 +51,11 @@
      * @param onTick the periodic work, not null
      */
     public Duty(String name, int ringEntries, long tickMillis, Runnable onTick) {
+        this(name, ringEntries, tickMillis, onTick, Duty::endProcess);
+    }
+
+    Duty(String name, int ringEntries, long tickMillis, Runnable onTick, Runnable onOutOfMemory) {
+        mOnOutOfMemory = onOutOfMemory;
         mName = name;
         mTickNanos = TimeUnit.MILLISECONDS.toNanos(tickMillis);
         mOnTick = onTick;
@@ -134,11 +147,17 @@
     private void runSafely(Runnable work) {
         try {
             work.run();
-        } catch (RuntimeException e) {
-            LOGGER.log(Level.ERROR, "duty: unexpected exception duty=" + mName, e);
+        } catch (OutOfMemoryError e) {
+            mOnOutOfMemory.run();
+        } catch (RuntimeException | Error e) {
+            LOGGER.log(Level.ERROR, "duty: unexpected error duty=" + mName, e);
         }
     }
 
+    private static void endProcess() {
+        Runtime.getRuntime().halt(OUT_OF_MEMORY_STATUS);
+    }
+
     private void tickIfDue() {
         long now = System.nanoTime();
         if (now - mLastTickNanos >= mTickNanos) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -25,6 +25,7 @@
 import org.endivetray.daemon.job.routing.PeerMessageHandler;
 import org.endivetray.daemon.job.routing.PoolOwnerClient;
 import org.endivetray.daemon.job.routing.PoolRequestHandler;
+import org.endivetray.daemon.job.shard.MemoryUse;
 import org.endivetray.daemon.job.shard.ShardContext;
 import org.endivetray.daemon.job.shard.ShardLimits;
 import org.endivetray.daemon.observe.JobMetrics;
@@ -194,6 +195,7 @@
                 new SiteMinionOrders(mVertx),
                 placement,
                 mExecutor,
+                new MemoryUse(),
                 metrics,
                 new ShardLimits(mSettings.maxLeaseMillis(), mSettings.retentionMillis()));
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -58,10 +58,10 @@
 
     private void collect(
             JobEntry job, long nowNanos, long nowMillis, Collection<Candidate> candidates) {
-        for (List<StepEntry> steps : job.mOccurrences) {
-            for (StepEntry step : steps) {
-                if (step.mWaitingCount > 0 && job.isReady(step, nowMillis)) {
-                    candidates.add(new Candidate(step, rank(step, steps, nowNanos, nowMillis)));
+        for (OccurrenceEntry occurrence : job.loadedOccurrences()) {
+            for (StepEntry step : occurrence.mSteps) {
+                if (step.mWaitingCount > 0 && occurrence.isReady(step, nowMillis)) {
+                    candidates.add(new Candidate(step, rank(step, nowNanos, nowMillis)));
                 }
             }
         }
@@ -72,8 +72,9 @@
      * path plus the queue's target latency; the slack is the rest of it after the job's age and the
      * expected durations of the steps that are not done.
      */
-    private StepRank rank(StepEntry step, List<StepEntry> steps, long nowNanos, long nowMillis) {
+    private StepRank rank(StepEntry step, long nowNanos, long nowMillis) {
         JobEntry job = step.mJob;
+        List<StepEntry> steps = step.mOccurrence.mSteps;
         if (step.mSpec.longRunning()) {
             return StepRank.ofLongRunning(step.mSpec.fills(), job.mStored.queue().priority());
         }
@@ -99,7 +100,7 @@
         }
         long ageMillis =
                 job.mStored.spec().isScheduled()
-                        ? nowMillis - job.mStored.spec().dueMillis(step.mOccurrence)
+                        ? nowMillis - job.dueMillis(step.mOccurrence.mNumber)
                         : TimeUnit.NANOSECONDS.toMillis(nowNanos - job.mAcceptedNanos);
         long objectiveMillis =
                 Math.round(job.mStored.queue().stretch() * criticalPathMillis)
@@ -298,9 +299,9 @@
         long waiting = 0;
         int wantedMinions = 0;
         for (JobEntry job : mState.mActiveJobs.values()) {
-            for (List<StepEntry> steps : job.mOccurrences) {
-                for (StepEntry step : steps) {
-                    if (step.mWaitingCount > 0 && job.isReady(step, nowMillis)) {
+            for (OccurrenceEntry occurrence : job.loadedOccurrences()) {
+                for (StepEntry step : occurrence.mSteps) {
+                    if (step.mWaitingCount > 0 && occurrence.isReady(step, nowMillis)) {
                         waiting += (long) step.mWaitingCount * step.mSpec.reservedCpuMillis();
                         wantedMinions += step.mSpec.longRunning() ? minionsFor(step) : 0;
                     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobEntry.java
@@ -1,75 +1,129 @@
 package org.endivetray.daemon.job.shard;
 
-import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.endivetray.daemon.job.record.StoredJob;
 import org.endivetray.daemon.job.record.StoredProgress;
 import org.endivetray.job.JobState;
-import org.endivetray.job.StepSpec;
-import org.endivetray.job.TaskId;
 
 /**
  * The owner's view of one job.
  *
+ * <p>The tasks of an occurrence are in memory only while it is loaded: from shortly after its due
+ * time until it is done or the job has ended. What a job takes of the memory is therefore
+ * independent of the number of its occurrences.
+ *
  * <p>Invariants: {@code mStoredState}, which callers are shown, is a final state only if that state
- * is stored.
+ * is stored; an occurrence that is done is never loaded again.
  *
  * <p>This class is not thread-safe; it belongs to the scheduler's thread.
  */
 final class JobEntry {
     final String mId;
     final StoredJob mStored;
-    final List<List<StepEntry>> mOccurrences = new ArrayList<>();
     final long mAcceptedNanos;
+
+    /** Size of the stored record, in bytes. */
+    final int mRecordBytes;
+
     JobState mState = JobState.QUEUED;
     JobState mStoredState = JobState.QUEUED;
     long mProgressVersion;
     long mEndedMillis;
-    boolean mIsDirty;
-    int mOpenTasks;
 
-    JobEntry(String id, StoredJob stored, long acceptedNanos) {
+    /** Whether an earlier owner may have started tasks of the job. */
+    boolean mIsInherited;
+
+    private final Map<Integer, OccurrenceEntry> mLoaded = new TreeMap<>();
+    private final BitSet mDone = new BitSet();
+
+    /** No occurrence with a lower number may be loaded. */
+    private int mNextLoadable;
+
+    JobEntry(String id, StoredJob stored, int recordBytes, long acceptedNanos) {
         mId = id;
         mStored = stored;
+        mRecordBytes = recordBytes;
         mAcceptedNanos = acceptedNanos;
-        for (int occurrence = 0; occurrence < stored.spec().occurrences(); occurrence++) {
-            List<StepEntry> steps = new ArrayList<>();
-            for (StepSpec spec : stored.spec().steps()) {
-                steps.add(new StepEntry(this, occurrence, steps.size(), spec));
-                mOpenTasks += spec.count();
-            }
-            mOccurrences.add(steps);
-        }
     }
 
-    /** Returns the task with the id, or null if the job has no such task. */
-    TaskEntry task(TaskId id) {
-        if (id.occurrence() < 0 || id.occurrence() >= mOccurrences.size()) {
-            return null;
-        }
-        List<StepEntry> steps = mOccurrences.get(id.occurrence());
-        if (id.step() < 0 || id.step() >= steps.size()) {
-            return null;
-        }
-        List<TaskEntry> tasks = steps.get(id.step()).mTasks;
-        return id.index() < 0 || id.index() >= tasks.size() ? null : tasks.get(id.index());
+    /** Returns the loaded occurrences, lowest number first. */
+    Collection<OccurrenceEntry> loadedOccurrences() {
+        return mLoaded.values();
     }
 
-    /** Returns whether the predecessors of a step are done and its occurrence is due. */
-    boolean isReady(StepEntry step, long nowMillis) {
-        if (mStored.spec().isScheduled()
-                && nowMillis < mStored.spec().dueMillis(step.mOccurrence)) {
-            return false;
-        }
-        List<StepEntry> steps = mOccurrences.get(step.mOccurrence);
-        for (int predecessor : step.mSpec.after()) {
-            if (!steps.get(predecessor).isDone()) {
-                return false;
-            }
+    /** Returns the loaded occurrence with a number, null if it is not loaded. */
+    OccurrenceEntry loadedOccurrence(int number) {
+        return mLoaded.get(number);
+    }
+
+    /** Returns the number of tasks of the loaded occurrences. */
+    int loadedTasks() {
+        return mLoaded.size() * tasksPerOccurrence();
+    }
+
+    int tasksPerOccurrence() {
+        return mStored.spec().tasksPerOccurrence();
+    }
+
+    /** Returns whether the job has an occurrence with the number that may still be loaded. */
+    boolean mayLoad(int number) {
+        return !mState.isFinal()
+                && number >= 0
+                && number < mStored.spec().occurrences()
+                && !mDone.get(number)
+                && !mLoaded.containsKey(number);
+    }
+
+    /** Returns the number of the first occurrence that may be loaded, negative if there is none. */
+    int nextLoadable() {
+        while (mDone.get(mNextLoadable) || mLoaded.containsKey(mNextLoadable)) {
+            mNextLoadable++;
         }
-        return true;
+        return mayLoad(mNextLoadable) ? mNextLoadable : -1;
+    }
+
+    /** Returns whether an occurrence is due; the one of a job without schedule always is. */
+    boolean isDue(int number, long nowMillis) {
+        return !mStored.spec().isScheduled() || nowMillis >= dueMillis(number);
+    }
+
+    /**
+     * Returns the time at which an occurrence is due, in milliseconds since 1970; a job without
+     * schedule is due when it is accepted.
+     */
+    long dueMillis(int number) {
+        return mStored.spec().isScheduled()
+                ? mStored.spec().dueMillis(number)
+                : mStored.acceptedMillis();
+    }
+
+    /** Loads an occurrence, for which {@link #mayLoad} must hold. */
+    OccurrenceEntry load(int number) {
+        OccurrenceEntry occurrence = new OccurrenceEntry(this, number);
+        mLoaded.put(number, occurrence);
+        return occurrence;
+    }
+
+    /** Removes a loaded occurrence from memory and returns whether it was loaded. */
+    boolean unload(OccurrenceEntry occurrence) {
+        return mLoaded.remove(occurrence.mNumber, occurrence);
+    }
+
+    /** Records that all tasks of an occurrence are done. */
+    void markDone(int occurrence) {
+        mDone.set(occurrence);
+    }
+
+    /** Returns whether all tasks of all occurrences are done. */
+    boolean isDone() {
+        return mDone.cardinality() == mStored.spec().occurrences();
     }
 
     /** Returns whether the job has left the queued state. */
@@ -78,7 +132,8 @@
     }
 
     /**
-     * Restores the stored progress of the job.
+     * Restores the stored progress of the job and loads the occurrences that have been started and
+     * are not done.
      *
      * @param progress the stored progress, not null
      * @param version version of its key
@@ -88,15 +143,34 @@
         mState = progress.state();
         mStoredState = progress.state();
         mEndedMillis = progress.endedMillis();
-        for (List<StepEntry> steps : mOccurrences) {
-            for (StepEntry step : steps) {
-                for (TaskEntry task : step.mTasks) {
-                    restore(task, progress.tasks().get(task.progressKey()));
-                }
+        mDone.set(0, progress.firstNotDone());
+        progress.doneLater().forEach(mDone::set);
+        if (mState.isFinal()) {
+            return;
+        }
+        for (int number : startedOccurrences(progress)) {
+            if (mayLoad(number)) {
+                restore(load(number), progress);
             }
         }
     }
 
+    private static Set<Integer> startedOccurrences(StoredProgress progress) {
+        return progress.tasks().keySet().stream()
+                .map(key -> Integer.valueOf(key.substring(0, key.indexOf('.'))))
+                .collect(Collectors.toSet());
+    }
+
+    private void restore(OccurrenceEntry occurrence, StoredProgress progress) {
+        for (TaskEntry task : occurrence.tasks()) {
+            restore(task, progress.tasks().get(task.progressKey()));
+        }
+        if (occurrence.mOpenTasks == 0) {
+            markDone(occurrence.mNumber);
+            unload(occurrence);
+        }
+    }
+
     private void restore(TaskEntry task, StoredProgress.StoredTask stored) {
         if (stored == null) {
             return;
@@ -108,37 +182,29 @@
             task.mPhase = TaskPhase.DONE;
             task.mStep.mDoneCount++;
             task.mStep.mWaitingCount--;
-            mOpenTasks--;
-        }
-    }
-
-    /** Marks all tasks as tasks that an earlier owner may have started. */
-    void markInherited() {
-        for (List<StepEntry> steps : mOccurrences) {
-            for (StepEntry step : steps) {
-                step.mTasks.forEach(task -> task.mIsInherited = true);
-            }
+            task.mStep.mOccurrence.mOpenTasks--;
         }
     }
 
     /** Returns the progress to store. */
     StoredProgress progress() {
         Map<String, StoredProgress.StoredTask> tasks = new HashMap<>();
-        for (List<StepEntry> steps : mOccurrences) {
-            for (StepEntry step : steps) {
-                for (TaskEntry task : step.mTasks) {
-                    if (task.hasProgress()) {
-                        tasks.put(
-                                task.progressKey(),
-                                new StoredProgress.StoredTask(
-                                        task.mPhase == TaskPhase.DONE,
-                                        task.mFailedRuns,
-                                        task.mRun,
-                                        task.mCheckpoint));
-                    }
+        for (OccurrenceEntry occurrence : mLoaded.values()) {
+            for (TaskEntry task : occurrence.tasks()) {
+                if (task.hasProgress()) {
+                    tasks.put(
+                            task.progressKey(),
+                            new StoredProgress.StoredTask(
+                                    task.mPhase == TaskPhase.DONE,
+                                    task.mFailedRuns,
+                                    task.mRun,
+                                    task.mCheckpoint));
                 }
             }
         }
-        return new StoredProgress(mState, mEndedMillis, tasks);
+        int firstNotDone = mDone.nextClearBit(0);
+        List<Integer> doneLater =
+                mDone.stream().filter(number -> number > firstNotDone).boxed().toList();
+        return new StoredProgress(mState, mEndedMillis, tasks, firstNotDone, doneLater);
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
@@ -18,6 +18,7 @@
 import org.endivetray.platform.RecordCodec;
 import org.endivetray.platform.SharedStore.CommitOutcome;
 import org.endivetray.platform.VersionedValue;
+import org.endivetray.policy.job.MemoryLimit;
 
 /**
  * Handles requests to submit jobs, to report their state and to cancel them.
@@ -43,18 +44,25 @@
     private final ShardState mState;
     private final BatchWriter mWriter;
     private final TaskLifecycle mLifecycle;
+    private final MemoryUse mMemory;
     private final Map<String, List<Promise<JobAnswer>>> mPendingSubmissions = new HashMap<>();
+
+    /** Sizes of the records that are being stored, in bytes, by job id. */
+    private final Map<String, Integer> mPendingBytes = new HashMap<>();
+
     private final List<Promise<JobAnswer>> mPendingCancellations = new ArrayList<>();
 
     JobRequestHandler(
             SchedulerExecutor executor,
             ShardState state,
             BatchWriter writer,
-            TaskLifecycle lifecycle) {
+            TaskLifecycle lifecycle,
+            MemoryUse memory) {
         mExecutor = executor;
         mState = state;
         mWriter = writer;
         mLifecycle = lifecycle;
+        mMemory = memory;
     }
 
     /**
@@ -76,20 +84,52 @@
                             RETRY_AFTER_OVERLOAD_MILLIS, "the shard has too many active jobs"));
             return;
         }
-        mPendingSubmissions.put(id, new ArrayList<>(List.of(answer)));
         StoredJob stored = new StoredJob(mState.mPool, queue, spec, mExecutor.currentTimeMillis());
+        byte[] record = RecordCodec.encode(stored);
+        boolean hasRoom =
+                MemoryLimit.accepts(
+                        spec.isScheduled(),
+                        spec.tasksPerOccurrence(),
+                        record.length,
+                        mMemory.current());
+        if (!hasRoom) {
+            answer.complete(
+                    JobAnswer.refused(
+                            RETRY_AFTER_OVERLOAD_MILLIS, "the daemon's memory limit is reached"));
+            return;
+        }
+        mPendingSubmissions.put(id, new ArrayList<>(List.of(answer)));
+        reserve(id, record.length);
         mWriter.add(
                 BatchWriter.Change.creation(
                         JobKeys.jobs(mState.mPool) + id,
-                        RecordCodec.encode(stored),
+                        record,
                         JobKeys.inboxJobs(mState.mPool) + id,
-                        version -> onAccepted(new JobEntry(id, stored, mExecutor.nanoTime())),
+                        version ->
+                                onAccepted(
+                                        new JobEntry(
+                                                id, stored, record.length, mExecutor.nanoTime())),
                         outcome -> onNotStored(id, outcome),
                         current -> onExists(id, current)),
                 true);
     }
 
+    /** Counts the record of a submission until its outcome is known. */
+    private void reserve(String id, int recordBytes) {
+        release(id);
+        mPendingBytes.put(id, recordBytes);
+        mMemory.addRecordBytes(recordBytes);
+    }
+
+    private void release(String id) {
+        Integer recordBytes = mPendingBytes.remove(id);
+        if (recordBytes != null) {
+            mMemory.addRecordBytes(-recordBytes);
+        }
+    }
+
     private void onAccepted(JobEntry job) {
+        release(job.mId);
         if (!mState.mJobs.containsKey(job.mId)) {
             mState.add(job);
         }
@@ -99,7 +139,7 @@
                 job.mId,
                 job.mStored.queue().name(),
                 Integer.toString(job.mStored.spec().steps().size()),
-                Integer.toString(job.mOpenTasks));
+                Integer.toString(job.tasksPerOccurrence() * job.mStored.spec().occurrences()));
         answerAll(job.mId, JobAnswer.ok());
         if (mState.mEarlyCancellations.remove(job.mId)) {
             mLifecycle.finish(job, JobState.CANCELED);
@@ -110,13 +150,16 @@
         LOGGER.log(Level.INFO, "job: not stored job={0} outcome={1}", id, outcome);
         switch (outcome) {
             case CONFLICT -> failAll(mPendingSubmissions.remove(id));
-            case NOT_DONE ->
-                    answerAll(id, JobAnswer.refused(RETRY_AFTER_OUTAGE_MILLIS, "store refused"));
+            case NOT_DONE -> {
+                release(id);
+                answerAll(id, JobAnswer.refused(RETRY_AFTER_OUTAGE_MILLIS, "store refused"));
+            }
             default -> answerAll(id, JobAnswer.unknown("the store did not answer"));
         }
     }
 
     private void onExists(String id, VersionedValue current) {
+        release(id);
         if (current.isPresent()) {
             ShardLoader.decodeJob(current, JobKeys.jobs(mState.mPool), mExecutor.nanoTime())
                     .ifPresent(this::onAccepted);
@@ -147,6 +190,7 @@
                 .values()
                 .forEach(answers -> answers.forEach(promise -> promise.tryComplete(answer)));
         mPendingCancellations.forEach(promise -> promise.tryComplete(answer));
+        List.copyOf(mPendingBytes.keySet()).forEach(this::release);
     }
 
     /** Accepts a job that another daemon has stored in the inbox. */
@@ -224,7 +268,7 @@
         long endedBefore = mExecutor.currentTimeMillis() - retentionMillis - PURGE_MARGIN_MILLIS;
         for (JobEntry job : List.copyOf(mState.mJobs.values())) {
             if (job.mStoredState.isFinal() && job.mEndedMillis < endedBefore) {
-                mState.mJobs.remove(job.mId);
+                mState.remove(job);
                 mWriter.remove(JobKeys.jobs(mState.mPool) + job.mId);
                 mWriter.remove(JobKeys.inboxJobs(mState.mPool) + job.mId);
                 mWriter.remove(JobKeys.progress(mState.mPool) + job.mId);
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionMonitor.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionMonitor.java
@@ -172,7 +172,7 @@
 
     private void onListing(MinionSession session, RunListing listing, long sentNanos) {
         session.mIsListing = false;
-        if (mState.mMinions.get(session.id()) != session) {
+        if (mState.isLost() || mState.mMinions.get(session.id()) != session) {
             return;
         }
         long now = mContext.executor().nanoTime();
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
@@ -136,6 +136,7 @@
         mUsedGpus += spec.gpus();
         task.mMinion = this;
         task.mStep.mCountPerMinion.merge(id(), 1, Integer::sum);
+        task.mStep.mOccurrence.mAssignedTasks++;
     }
 
     /** Removes a task from the minion and frees its resources. */
@@ -147,6 +148,7 @@
         mUsedGpus -= spec.gpus();
         task.mMinion = null;
         task.mStep.mCountPerMinion.merge(id(), -1, Integer::sum);
+        task.mStep.mOccurrence.mAssignedTasks--;
     }
 
     /**
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -58,6 +58,7 @@
     private final BatchWriter mWriter;
     private final TaskLifecycle mLifecycle;
     private final MinionMonitor mMonitor;
+    private final OccurrenceLoader mLoader;
     private final Dispatcher mDispatcher;
     private final JobRequestHandler mRequestHandler;
     private final InboxWatcher mInboxWatcher;
@@ -100,7 +101,7 @@
             DurationModel durations,
             Consumer<Shard> onLost) {
         mContext = context;
-        mState = new ShardState(pool, owner.version());
+        mState = new ShardState(pool, owner.version(), context.memory());
         mOnLost = onLost;
         mWriter =
                 new BatchWriter(
@@ -112,7 +113,10 @@
         mLifecycle = new TaskLifecycle(context, mState, mWriter, durations, onFenced);
         mMonitor = new MinionMonitor(context, mState, mWriter, mLifecycle, onFenced);
         mDispatcher = new Dispatcher(context, mState, mLifecycle, durations);
-        mRequestHandler = new JobRequestHandler(context.executor(), mState, mWriter, mLifecycle);
+        mLoader = new OccurrenceLoader(mState, context.memory());
+        mRequestHandler =
+                new JobRequestHandler(
+                        context.executor(), mState, mWriter, mLifecycle, context.memory());
         mInboxWatcher = new InboxWatcher(context, mState, mRequestHandler, this::isLost);
         mDrainer = new MinionDrainer(context.executor(), mState, mLifecycle);
         mStallDetector = new StallDetector(mState, mLifecycle, durations);
@@ -174,6 +178,7 @@
                 reason);
         mPhase = Phase.LOST;
         mRequestHandler.onShardLost();
+        mState.markLost();
         mOnLost.accept(this);
     }
 
@@ -206,10 +211,14 @@
         adopt(nowNanos);
         boolean isDue =
                 mState.mNeedsDispatch || nowNanos - mDispatchedNanos >= DISPATCH_INTERVAL_NANOS;
+        if (isDue) {
+            mLoader.loadDue(mContext.executor().currentTimeMillis());
+        }
         if (mPhase == Phase.ACTIVE && isDue && !mIsHandingOver) {
             mState.mNeedsDispatch = false;
             mDispatchedNanos = nowNanos;
             mDispatcher.run(nowNanos);
+            mContext.metrics().onMemoryUse(mContext.memory().current());
         }
         if (nowNanos - mPurgedNanos >= PURGE_INTERVAL_NANOS) {
             mPurgedNanos = nowNanos;
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardContext.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardContext.java
@@ -9,12 +9,14 @@
 /**
  * The services and limits that all shards of a daemon share.
  *
- * <p>This class is immutable and thread-safe.
+ * <p>The components are thread-safe, but for the memory use, which belongs to the scheduler's
+ * thread.
  *
  * @param store the shared store, not null
  * @param minions sends orders to minions, not null
  * @param advisor the placement advisor, null if there is none
  * @param executor runs results on the scheduler's thread and provides its clocks, not null
+ * @param memory what the jobs of all shards take, not null
  * @param metrics counters and histograms, not null
  * @param limits time limits of the platform, not null
  */
@@ -23,5 +25,6 @@
         MinionOrders minions,
         PlacementAdvisor advisor,
         SchedulerExecutor executor,
+        MemoryUse memory,
         JobMetrics metrics,
         ShardLimits limits) {}
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardLoader.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardLoader.java
@@ -3,8 +3,9 @@
 import io.vertx.core.Future;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.endivetray.EndivetrayException;
 import org.endivetray.daemon.job.record.JobKeys;
@@ -80,7 +81,10 @@
                 .map(
                         stored ->
                                 new JobEntry(
-                                        item.key().substring(prefix.length()), stored, nowNanos));
+                                        item.key().substring(prefix.length()),
+                                        stored,
+                                        item.value().length,
+                                        nowNanos));
     }
 
     /**
@@ -98,30 +102,33 @@
             VersionedValue minions) {
         /** Adds the records to the state of a shard. */
         void restoreTo(ShardState state, long nowNanos) {
-            List<JobEntry> entries = new ArrayList<>();
+            Map<String, JobEntry> entries = new LinkedHashMap<>();
             String prefix = JobKeys.jobs(state.mPool);
-            jobs.forEach(item -> decodeJob(item, prefix, nowNanos).ifPresent(entries::add));
+            jobs.forEach(
+                    item ->
+                            decodeJob(item, prefix, nowNanos)
+                                    .ifPresent(entry -> entries.put(entry.mId, entry)));
             String inboxJobPrefix = JobKeys.inboxJobs(state.mPool);
             String cancellationPrefix = JobKeys.inboxCancellations(state.mPool);
             for (VersionedValue item : inbox.entries()) {
                 if (item.key().startsWith(inboxJobPrefix)) {
-                    decodeJob(item, inboxJobPrefix, nowNanos).ifPresent(entries::add);
+                    decodeJob(item, inboxJobPrefix, nowNanos)
+                            .ifPresent(entry -> entries.putIfAbsent(entry.mId, entry));
                 } else if (item.key().startsWith(cancellationPrefix)) {
                     state.mEarlyCancellations.add(
                             item.key().substring(cancellationPrefix.length()));
                 }
             }
-            entries.forEach(entry -> state.mJobs.put(entry.mId, entry));
             String progressPrefix = JobKeys.progress(state.mPool);
             for (VersionedValue item : progress) {
-                JobEntry entry = state.mJobs.get(item.key().substring(progressPrefix.length()));
+                JobEntry entry = entries.get(item.key().substring(progressPrefix.length()));
                 if (entry != null) {
                     decode(item, StoredProgress.class)
                             .ifPresent(stored -> entry.restore(stored, item.version()));
                 }
             }
-            for (JobEntry entry : entries) {
-                entry.markInherited();
+            for (JobEntry entry : entries.values()) {
+                entry.mIsInherited = true;
                 state.add(entry);
             }
             decode(minions, StoredMinions.class)
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardState.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardState.java
@@ -40,20 +40,87 @@
 
     boolean mNeedsDispatch;
 
-    ShardState(String pool, long token) {
+    private final MemoryUse mMemory;
+    private boolean mIsLost;
+
+    ShardState(String pool, long token, MemoryUse memory) {
         mPool = pool;
         mToken = token;
+        mMemory = memory;
     }
 
-    /** Returns the task with the name, or null if there is none. */
+    /**
+     * Returns the task with the name, or null if there is none or its occurrence has ended. Loads
+     * its occurrence if necessary, since an earlier owner may have started the task.
+     */
     TaskEntry task(String name) {
         TaskId id = TaskId.parse(name).orElse(null);
         JobEntry job = id == null ? null : mJobs.get(id.job());
-        return job == null ? null : job.task(id);
+        if (job == null || !job.mStored.spec().hasTask(id)) {
+            return null;
+        }
+        if (job.mayLoad(id.occurrence())) {
+            load(job, id.occurrence());
+        }
+        OccurrenceEntry occurrence = job.loadedOccurrence(id.occurrence());
+        return occurrence == null ? null : occurrence.task(id.step(), id.index());
+    }
+
+    /** Loads an occurrence of a job, which must allow it. */
+    void load(JobEntry job, int number) {
+        job.load(number);
+        countTasks(job, job.tasksPerOccurrence());
+    }
+
+    /** Removes an occurrence from memory. */
+    void unload(OccurrenceEntry occurrence) {
+        JobEntry job = occurrence.mJob;
+        if (job.unload(occurrence)) {
+            countTasks(job, -job.tasksPerOccurrence());
+        }
+    }
+
+    /** Removes a job. */
+    void remove(JobEntry job) {
+        mActiveJobs.remove(job.mId);
+        if (mJobs.remove(job.mId, job)) {
+            count(job, -1);
+        }
+    }
+
+    /** Marks the shard as lost, after which its jobs no longer count as held by the daemon. */
+    void markLost() {
+        for (JobEntry job : mJobs.values()) {
+            count(job, -1);
+        }
+        mIsLost = true;
+    }
+
+    /** Returns whether the shard is lost, after which nothing may be ordered or written. */
+    boolean isLost() {
+        return mIsLost;
+    }
+
+    private void count(JobEntry job, int sign) {
+        countTasks(job, sign * job.loadedTasks());
+        if (!mIsLost) {
+            mMemory.addRecordBytes((long) sign * job.mRecordBytes);
+        }
+    }
+
+    private void countTasks(JobEntry job, int tasks) {
+        if (!mIsLost) {
+            mMemory.addTasks(job.mStored.spec().isScheduled(), tasks);
+        }
     }
 
     /** Adds a job, or replaces the one with the same id. */
     void add(JobEntry job) {
+        JobEntry replaced = mJobs.get(job.mId);
+        if (replaced != null) {
+            remove(replaced);
+        }
+        count(job, 1);
         mJobs.put(job.mId, job);
         if (!job.mState.isFinal()) {
             mActiveJobs.put(job.mId, job);
@@ -84,7 +151,7 @@
 
     /** Returns whether a task may have a run of an earlier owner that this owner does not know. */
     boolean mayHaveUnseenRun(TaskEntry task, long nowNanos) {
-        return task.mIsInherited
+        return task.mStep.mJob.mIsInherited
                 && !mUnreconciledMinions.isEmpty()
                 && nowNanos - mInheritedLeaseEndNanos < 0;
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/StepEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/StepEntry.java
@@ -15,7 +15,7 @@
  */
 final class StepEntry {
     final JobEntry mJob;
-    final int mOccurrence;
+    final OccurrenceEntry mOccurrence;
     final int mNumber;
     final StepSpec mSpec;
     final String mName;
@@ -25,12 +25,12 @@
     int mWaitingCount;
     PlacementTickets mTickets;
 
-    StepEntry(JobEntry job, int occurrence, int number, StepSpec spec) {
-        mJob = job;
+    StepEntry(OccurrenceEntry occurrence, int number, StepSpec spec) {
+        mJob = occurrence.mJob;
         mOccurrence = occurrence;
         mNumber = number;
         mSpec = spec;
-        mName = job.mId + "." + occurrence + "." + number;
+        mName = mJob.mId + "." + occurrence.mNumber + "." + number;
         for (int i = 0; i < spec.count(); i++) {
             mTasks.add(new TaskEntry(this, i));
         }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskEntry.java
@@ -47,9 +47,6 @@
      */
     int mLoad;
 
-    /** Whether an earlier owner may have started the task. */
-    boolean mIsInherited;
-
     boolean mWasStalled;
 
     /** Whether the minion has confirmed the latest stop order. */
@@ -65,7 +62,7 @@
 
     /** Returns the key of the task in the stored progress of its job. */
     String progressKey() {
-        return mStep.mOccurrence + "." + mStep.mNumber + "." + mIndex;
+        return mStep.mOccurrence.mNumber + "." + mStep.mNumber + "." + mIndex;
     }
 
     /**
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskLifecycle.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskLifecycle.java
@@ -4,13 +4,11 @@
 import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.job.JobState;
 import org.endivetray.platform.MinionOrders.EndedTask;
 import org.endivetray.platform.MinionOrders.OrderOutcome;
 import org.endivetray.platform.MinionOrders.OrderReply;
 import org.endivetray.platform.MinionOrders.StartOrder;
-import org.endivetray.platform.RecordCodec;
 import org.endivetray.policy.job.DurationModel;
 
 /**
@@ -36,7 +34,7 @@
 
     private final ShardContext mContext;
     private final ShardState mState;
-    private final BatchWriter mWriter;
+    private final ProgressWriter mProgressWriter;
     private final DurationModel mDurations;
     private final MinionQuarantine mQuarantine;
     private final Runnable mOnFenced;
@@ -49,7 +47,7 @@
             Runnable onFenced) {
         mContext = context;
         mState = state;
-        mWriter = writer;
+        mProgressWriter = new ProgressWriter(state, writer);
         mDurations = durations;
         mQuarantine = new MinionQuarantine(state);
         mOnFenced = onFenced;
@@ -268,6 +266,14 @@
         task.mStartUnansweredNanos = 0;
         task.mStep.mWaitingCount++;
         mState.mNeedsDispatch = true;
+        unloadIfEnded(task.mStep.mOccurrence);
+    }
+
+    /** Unloads an occurrence of a job that has ended, once none of its runs can exist. */
+    private void unloadIfEnded(OccurrenceEntry occurrence) {
+        if (occurrence.mJob.mState.isFinal() && occurrence.mAssignedTasks == 0) {
+            mState.unload(occurrence);
+        }
     }
 
     /** Records the end of a run. */
@@ -312,7 +318,7 @@
     private void saveCheckpoint(TaskEntry task, String checkpoint) {
         if (!checkpoint.isEmpty() && !task.mStep.mJob.mState.isFinal()) {
             task.mCheckpoint = checkpoint;
-            storeProgress(task.mStep.mJob, false);
+            mProgressWriter.store(task.mStep.mJob, false);
         }
     }
 
@@ -328,12 +334,17 @@
         task.mPhase = TaskPhase.DONE;
         task.mStep.mWaitingCount--;
         task.mStep.mDoneCount++;
-        job.mOpenTasks--;
         mState.mNeedsDispatch = true;
-        if (job.mOpenTasks == 0 && !job.mState.isFinal()) {
+        OccurrenceEntry occurrence = task.mStep.mOccurrence;
+        occurrence.mOpenTasks--;
+        if (occurrence.mOpenTasks == 0) {
+            job.markDone(occurrence.mNumber);
+            mState.unload(occurrence);
+        }
+        if (job.isDone() && !job.mState.isFinal()) {
             finish(job, JobState.COMPLETED);
         } else {
-            storeProgress(job, false);
+            mProgressWriter.store(job, false);
         }
     }
 
@@ -350,7 +361,7 @@
         if (task.mFailedRuns.size() >= job.mStored.queue().attempts()) {
             finish(job, JobState.FAILED);
         } else {
-            storeProgress(job, false);
+            mProgressWriter.store(job, false);
         }
     }
 
@@ -365,32 +376,14 @@
         job.mEndedMillis = mContext.executor().currentTimeMillis();
         mState.mActiveJobs.remove(job.mId);
         LOGGER.log(Level.INFO, "job: ended job={0} state={1}", job.mId, state);
-        for (List<StepEntry> steps : job.mOccurrences) {
-            for (StepEntry step : steps) {
-                for (TaskEntry task : step.mTasks) {
-                    if (task.mPhase == TaskPhase.STARTING || task.mPhase == TaskPhase.RUNNING) {
-                        stop(task, state.name());
-                    }
+        for (OccurrenceEntry occurrence : List.copyOf(job.loadedOccurrences())) {
+            for (TaskEntry task : occurrence.tasks()) {
+                if (task.mPhase == TaskPhase.STARTING || task.mPhase == TaskPhase.RUNNING) {
+                    stop(task, state.name());
                 }
             }
+            unloadIfEnded(occurrence);
         }
-        storeProgress(job, true);
-    }
-
-    /** Queues the progress of a job for storing. */
-    void storeProgress(JobEntry job, boolean isUrgent) {
-        JobState state = job.mState;
-        mWriter.add(
-                BatchWriter.Change.rewrite(
-                        JobKeys.progress(mState.mPool) + job.mId,
-                        RecordCodec.encode(job.progress()),
-                        job.mProgressVersion,
-                        version -> {
-                            job.mProgressVersion = version;
-                            if (state.isFinal() || !job.mStoredState.isFinal()) {
-                                job.mStoredState = state;
-                            }
-                        }),
-                isUrgent);
+        mProgressWriter.store(job, true);
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.endivetray.policy.job.MemoryLimit;
 
 /**
  * The metrics of a daemon that schedules jobs.
@@ -36,6 +37,17 @@
                     .help("Tasks that are ready to start and wait for capacity.")
                     .labelNames("pool")
                     .register(mRegistry);
+    private final Gauge mHeldTasks =
+            Gauge.builder()
+                    .name("endivetray_tasks_held")
+                    .help("Tasks that the jobs of this daemon keep in memory.")
+                    .labelNames("kind")
+                    .register(mRegistry);
+    private final Gauge mHeldRecordBytes =
+            Gauge.builder()
+                    .name("endivetray_job_record_bytes")
+                    .help("Size of the records of all jobs that this daemon keeps, in bytes.")
+                    .register(mRegistry);
     private final Histogram mStartDelay =
             histogram(
                     "endivetray_first_start_seconds",
@@ -82,6 +94,13 @@
         mWaiting.labelValues(pool).set(tasks);
     }
 
+    /** Records what the jobs of this daemon take of its memory. */
+    public void onMemoryUse(MemoryLimit.Use use) {
+        mHeldTasks.labelValues("scheduled").set(use.scheduledTasks());
+        mHeldTasks.labelValues("unscheduled").set(use.unscheduledTasks());
+        mHeldRecordBytes.set(use.recordBytes());
+    }
+
     /** Records the time from the acceptance of a job to its first task start, in nanoseconds. */
     public void onFirstStart(long nanos) {
         mStartDelay.observe(nanos / 1e9);
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
@@ -57,6 +57,7 @@
                         mMinions,
                         null,
                         mExecutor,
+                        new MemoryUse(),
                         new JobMetrics(),
                         new ShardLimits(LEASE_MILLIS, 120_000));
         Shard shard =
--- a/model/src/main/java/org/endivetray/job/JobSpec.java
+++ b/model/src/main/java/org/endivetray/job/JobSpec.java
@@ -26,7 +26,7 @@
     /** Most tasks of one occurrence of a job. */
     public static final int MAX_TASKS = 10_000;
 
-    /** Most tasks of a job in all its occurrences, which bounds the memory that a job takes. */
+    /** Most tasks of a job in all its occurrences. */
     public static final int MAX_TOTAL_TASKS = 100_000;
 
     /**
@@ -86,6 +86,21 @@
         return new EndivetrayException(ResultCode.MALFORMED_REQUEST, message);
     }
 
+    /** Returns the number of tasks of all steps together. */
+    public int tasksPerOccurrence() {
+        return steps.stream().mapToInt(StepSpec::count).sum();
+    }
+
+    /** Returns whether a task with the id exists in a job with these steps. */
+    public boolean hasTask(TaskId id) {
+        return id.occurrence() >= 0
+                && id.occurrence() < occurrences()
+                && id.step() >= 0
+                && id.step() < steps.size()
+                && id.index() >= 0
+                && id.index() < steps.get(id.step()).count();
+    }
+
     /** Returns the number of times that the steps run. */
     public int occurrences() {
         return Math.max(1, repetitions);
