--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/WaveExecutor.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/WaveExecutor.java
@@ -88,10 +88,6 @@
         mWave = wave;
     }
 
-    boolean isActive() {
-        return mIsLoaded && !mIsCompleted;
-    }
-
     /** Returns the workers that are being drained or are down for the wave. */
     Set<String> workersInProgress() {
         return mOutages.keySet();
@@ -102,10 +98,10 @@
     }
 
     void tick(long nowNanos) {
-        if (mIsCompleted || mIsStopped) {
+        if (mIsStopped) {
             return;
         }
-        if (!mIsCalling && nowNanos - mNextNanos >= 0) {
+        if (!mIsCompleted && !mIsCalling && nowNanos - mNextNanos >= 0) {
             if (!mIsLoaded) {
                 load();
             } else if (mIsDirty) {
@@ -221,11 +217,14 @@
      * @param sentNanos time of the monotonic clock at which the list was requested, in nanoseconds
      */
     void onWorkers(Map<String, WorkerInfo> workers, long sentNanos) {
-        if (!isActive() || mIsStopped || !mOrders.isLoaded()) {
+        if (!mIsLoaded || mIsStopped || !mOrders.isLoaded()) {
             return;
         }
         mWorkers = workers;
         removeEnded(sentNanos);
+        if (mIsCompleted) {
+            return;
+        }
         mIsDirty |= isComplete();
         List<String> left = remaining();
         Set<String> inherited = inheritedOutages();
@@ -277,7 +276,8 @@
     /** Removes the outages that are over and adds their durations to the moving average. */
     private void removeEnded(long sentNanos) {
         for (WorkerOutage outage : List.copyOf(mOutages.values())) {
-            if (outage.isOver(mWorkers.get(outage.worker()), sentNanos)) {
+            outage.onListed(mWorkers.get(outage.worker()), sentNanos);
+            if (outage.isOver()) {
                 mOutages.remove(outage.worker());
                 long millis = outage.elapsedMillis(sentNanos);
                 mMeanOutageMillis += (millis - mMeanOutageMillis) * OUTAGE_SMOOTHING;
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/WorkerMove.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/WorkerMove.java
@@ -16,8 +16,8 @@
  * drained and the order is repeated until an answer or the list of workers shows that it was
  * carried out.
  *
- * <p>Invariants: an order is given only after the owner of the pool's shard has confirmed that
- * nothing runs on the worker.
+ * <p>Invariants: an order is given only while nothing runs on the worker, as the owner of the
+ * pool's shard has confirmed, and nothing will be started.
  *
  * <p>This class is not thread-safe; it belongs to the scheduler's thread.
  */
@@ -29,7 +29,7 @@
 
     private final FleetContext mContext;
     private final RebalancePolicy.Move mMove;
-    private final String mMinion;
+    private final MinionDrain mDrain;
     private final Condition mOwner;
     private final RecentOrders mOrders;
     private final Listener mListener;
@@ -37,6 +37,7 @@
     /** Time of the latest order, 0 if there is none. */
     private long mOrderedNanos;
 
+    private boolean mIsOrdering;
     private boolean mWasUnanswered;
     private boolean mIsEnded;
 
@@ -71,7 +72,7 @@
             Listener listener) {
         mContext = context;
         mMove = move;
-        mMinion = minion;
+        mDrain = new MinionDrain(context, move.from(), minion);
         mOwner = owner;
         mOrders = orders;
         mListener = listener;
@@ -87,20 +88,15 @@
         if (mIsEnded || mListener.isStopped()) {
             return;
         }
-        if (!mContext.hasJobs().test(mMove.from())) {
-            recordOrder();
-            return;
-        }
-        mContext.executor()
-                .onComplete(
-                        mContext.owners().drain(mMove.from(), mMinion, false),
-                        (reply, cause) -> {
-                            if (cause == null && reply.isIsEmpty()) {
-                                recordOrder();
-                            } else {
-                                giveUp();
-                            }
-                        });
+        mDrain.request(
+                false,
+                () -> {
+                    if (mDrain.isEmpty()) {
+                        recordOrder();
+                    } else {
+                        giveUp();
+                    }
+                });
     }
 
     private void recordOrder() {
@@ -108,7 +104,10 @@
                 .onComplete(
                         mOrders.recordOrder(worker()),
                         (ignored, cause) -> {
-                            if (cause == null && mContext.isLeaseValid().getAsBoolean()) {
+                            // Recording may have taken so long that the drain has expired.
+                            if (cause == null
+                                    && mDrain.isEmpty()
+                                    && mContext.isLeaseValid().getAsBoolean()) {
                                 order();
                             } else {
                                 giveUp();
@@ -121,6 +120,8 @@
             return;
         }
         mOrderedNanos = mContext.executor().nanoTime();
+        mIsOrdering = true;
+        mContext.executor().schedule(MinionDrain.INTERVAL_MILLIS, this::keepDrained);
         mContext.executor()
                 .onComplete(
                         mContext.workerAdmin()
@@ -128,7 +129,16 @@
                         (outcome, cause) -> onOutcome(outcome));
     }
 
+    /** Keeps the worker drained until the order is answered. */
+    private void keepDrained() {
+        if (mIsOrdering && !mListener.isStopped()) {
+            mDrain.request(false, () -> {});
+            mContext.executor().schedule(MinionDrain.INTERVAL_MILLIS, this::keepDrained);
+        }
+    }
+
     private void onOutcome(WorkerOrderOutcome outcome) {
+        mIsOrdering = false;
         LOGGER.log(
                 Level.INFO,
                 "fleet: move worker={0} from={1} to={2} outcome={3}",
@@ -176,7 +186,7 @@
         }
         mIsEnded = true;
         if (isMoved) {
-            mContext.owners().notifyMinionTerminated(mMove.from(), mMinion);
+            mDrain.notifyTerminated();
         }
         mListener.onEnded(mMove, isMoved);
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/WorkerOutage.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/WorkerOutage.java
@@ -10,9 +10,10 @@
  * The planned outage of one worker of a maintenance wave, from the first drain request until the
  * worker is up again.
  *
- * <p>Invariants: the maintenance order is given only once nothing runs on the worker, and is
- * repeated until it is answered as done, since an order without an answer may be carried out long
- * after it was sent.
+ * <p>Invariants: the maintenance order is given only while nothing runs on the worker and nothing
+ * will be started, and is repeated until it is answered as done, since an order without an answer
+ * may be carried out long after it was sent; a minion is reported as terminated only if the list of
+ * workers shows it.
  *
  * <p>This class is not thread-safe; it belongs to the scheduler's thread.
  */
@@ -20,7 +21,8 @@
     private static final Logger LOGGER = System.getLogger(WorkerOutage.class.getName());
 
     /** Time between requests to drain a worker. */
-    private static final long DRAIN_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+    private static final long DRAIN_INTERVAL_NANOS =
+            TimeUnit.MILLISECONDS.toNanos(MinionDrain.INTERVAL_MILLIS);
 
     /**
      * Time after which a drain becomes urgent, so that tasks that are not long-running are stopped;
@@ -28,22 +30,31 @@
      */
     private static final long URGENT_DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
+    /**
+     * Time after the answer to an order after which a worker that is listed as up with the same
+     * minion had its maintenance before, since the list shows a maintenance that has just begun.
+     */
+    private static final long DONE_BEFORE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
     private final FleetContext mContext;
     private final Order mOrder;
     private final boolean mWasPinned;
     private final RecentOrders mOrders;
     private final Listener mListener;
     private final long mStartNanos;
-    private String mPool = "";
-    private String mMinion = "";
+    private MinionDrain mDrain;
     private long mNextDrainNanos;
 
     /** Time of the latest maintenance order, 0 if there is none. */
     private long mOrderedNanos;
 
-    private boolean mIsRequestInFlight;
+    /** Time at which the order was answered as done. */
+    private long mDoneNanos;
+
+    private boolean mIsOrdering;
     private boolean mIsOrderDone;
     private boolean mWasSeenDown;
+    private boolean mIsOver;
 
     /** The wave to which an outage belongs. */
     interface Listener {
@@ -104,46 +115,53 @@
 
     /**
      * Requests that the worker be drained, when due, and orders its maintenance once it is empty.
+     * It is kept drained while an order may still be carried out.
      *
      * @param info the worker as listed last, null if it is not listed
      * @param nowNanos time of the monotonic clock, in nanoseconds
      */
     void tick(WorkerInfo info, long nowNanos) {
-        boolean isDue = nowNanos - mNextDrainNanos >= 0;
-        if (mIsRequestInFlight || mIsOrderDone || !isDue || mListener.isStopped()) {
+        if (nowNanos - mNextDrainNanos < 0 || mListener.isStopped()) {
             return;
         }
         mNextDrainNanos = nowNanos + DRAIN_INTERVAL_NANOS;
-        if (info == null || !info.status().acceptsOrders()) {
+        boolean isUrgent = nowNanos - mStartNanos >= URGENT_DRAIN_NANOS;
+        if (mIsOrdering || mIsOrderDone) {
+            if (mDrain != null) {
+                mDrain.request(isUrgent, () -> {});
+            }
             return;
         }
-        mPool = info.pool();
-        mMinion = info.minion();
-        mIsRequestInFlight = true;
-        if (!mContext.hasJobs().test(mPool)) {
-            recordOrder();
+        if (info == null || !info.status().acceptsOrders()) {
             return;
         }
-        boolean isUrgent = nowNanos - mStartNanos >= URGENT_DRAIN_NANOS;
-        mContext.executor()
-                .onComplete(
-                        mContext.owners().drain(mPool, mMinion, isUrgent),
-                        (reply, cause) -> {
-                            mIsRequestInFlight = false;
-                            if (cause == null && reply.isIsEmpty() && !mListener.isStopped()) {
-                                recordOrder();
-                            }
-                        });
+        if (mDrain == null || !mDrain.isOf(info.pool(), info.minion())) {
+            mDrain = new MinionDrain(mContext, info.pool(), info.minion());
+        }
+        MinionDrain drain = mDrain;
+        drain.request(isUrgent, () -> recordOrder(drain));
     }
 
-    private void recordOrder() {
-        mIsRequestInFlight = true;
+    private boolean mayOrder(MinionDrain drain) {
+        return !mIsOrdering
+                && !mIsOrderDone
+                && !mListener.isStopped()
+                && drain == mDrain
+                && drain.isEmpty();
+    }
+
+    private void recordOrder(MinionDrain drain) {
+        if (!mayOrder(drain)) {
+            return;
+        }
+        mIsOrdering = true;
         mContext.executor()
                 .onComplete(
                         mOrders.recordOrder(worker()),
                         (ignored, cause) -> {
-                            mIsRequestInFlight = false;
-                            if (cause == null && !mListener.isStopped()) {
+                            mIsOrdering = false;
+                            // Recording may have taken so long that the drain has expired.
+                            if (cause == null && mayOrder(drain)) {
                                 order();
                             }
                         });
@@ -154,7 +172,7 @@
             return;
         }
         mOrderedNanos = mContext.executor().nanoTime();
-        mIsRequestInFlight = true;
+        mIsOrdering = true;
         mContext.executor()
                 .onComplete(
                         mContext.workerAdmin()
@@ -164,35 +182,50 @@
     }
 
     private void onOutcome(WorkerOrderOutcome outcome) {
-        mIsRequestInFlight = false;
+        mIsOrdering = false;
+        long now = mContext.executor().nanoTime();
         LOGGER.log(
                 Level.INFO,
                 "wave: maintenance wave={0} worker={1} minion={2} outcome={3} waited={4}ms",
                 Long.toString(mOrder.wave()),
                 worker(),
-                mMinion,
+                mDrain == null ? "" : mDrain.minion(),
                 outcome,
-                Long.toString(elapsedMillis(mContext.executor().nanoTime())));
+                Long.toString(elapsedMillis(now)));
         if (outcome == WorkerOrderOutcome.DONE) {
             mIsOrderDone = true;
-            mContext.owners().notifyMinionTerminated(mPool, mMinion);
+            mDoneNanos = now;
             mListener.onMaintenanceStarted(worker());
         }
     }
 
     /**
-     * Returns whether the worker is up again after its maintenance or is no longer listed.
+     * Updates the outage with the worker as listed.
      *
-     * @param info the worker as listed last, null if it is not listed
+     * <p>An order is also answered as done if the maintenance was carried out before, so the answer
+     * doesn't say that the present minion has terminated. Only a list that was requested after the
+     * order says that.
+     *
+     * @param info the worker as listed, null if it is not listed
      * @param sentNanos time of the monotonic clock at which the list was requested, in nanoseconds
      */
-    boolean isOver(WorkerInfo info, long sentNanos) {
-        if (info == null) {
-            return true;
+    void onListed(WorkerInfo info, long sentNanos) {
+        boolean isUp = info != null && info.status().acceptsOrders();
+        boolean isAfterOrder = mOrderedNanos != 0 && sentNanos - mOrderedNanos > 0;
+        boolean hasOtherMinion = mDrain == null || isUp && !info.minion().equals(mDrain.minion());
+        if (isAfterOrder && mDrain != null && (!isUp || hasOtherMinion)) {
+            mDrain.notifyTerminated();
+            mDrain = null;
         }
-        boolean isLater = mIsOrderDone && sentNanos - mOrderedNanos > 0;
-        boolean isUp = info.status().acceptsOrders();
-        mWasSeenDown |= isLater && !isUp;
-        return isLater && isUp && (mWasSeenDown || !info.minion().equals(mMinion));
+        boolean isAfterAnswer = mIsOrderDone && sentNanos - mDoneNanos > 0;
+        mWasSeenDown |= isAfterAnswer && !isUp;
+        boolean wasDoneBefore = isAfterAnswer && sentNanos - mDoneNanos >= DONE_BEFORE_NANOS;
+        boolean isBack = isAfterAnswer && isUp;
+        mIsOver = info == null || isBack && (mWasSeenDown || hasOtherMinion || wasDoneBefore);
+    }
+
+    /** Returns whether the worker is up again after its maintenance or is no longer listed. */
+    boolean isOver() {
+        return mIsOver;
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/PoolOwnerClient.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/PoolOwnerClient.java
@@ -42,7 +42,8 @@
     }
 
     /**
-     * Requests that a minion be drained. The reply says whether it is empty.
+     * Requests that a minion be drained. The reply says whether it is empty, and which incarnation
+     * is.
      *
      * @param pool the pool, not null
      * @param minion id of the minion, not null
@@ -62,14 +63,16 @@
     }
 
     /**
-     * Notifies the owner of a pool that a minion has terminated. The message is not repeated; if it
-     * is lost, the owner learns of the termination later by itself.
+     * Notifies the owner of a pool that an incarnation of a minion has terminated. The message is
+     * not repeated; if it is lost, the owner learns of the termination later by itself.
      *
      * @param pool the pool, not null
      * @param minion id of the minion, not null
+     * @param incarnationMillis start of the incarnation, in milliseconds since 1970
      */
-    public void notifyMinionTerminated(String pool, String minion) {
-        MinionGone termination = new MinionGone(pool, minion);
+    public void notifyMinionTerminated(String pool, String minion, long incarnationMillis) {
+        MinionGone termination =
+                new MinionGone(pool, minion).setIncarnationMillis(incarnationMillis);
         OwnershipView.DaemonRecord owner = mView.get().ownerOf(pool).orElse(null);
         if (owner != null && owner.name().equals(mName)) {
             mLocal.handleTermination(termination);
--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/PoolRequestHandler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/PoolRequestHandler.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.List;
+import java.util.OptionalLong;
 import org.endivetray.daemon.job.SchedulerExecutor;
 import org.endivetray.daemon.job.shard.Shard;
 import org.endivetray.policy.job.PoolLoad;
@@ -33,17 +34,18 @@
     }
 
     /**
-     * Notifies the shard of a minion's pool that the minion has terminated, if this daemon owns the
-     * shard.
+     * Notifies the shard of a minion's pool that an incarnation of the minion has terminated, if
+     * this daemon owns the shard.
      *
-     * @param termination names the minion and its pool, not null
+     * @param termination names the minion, its pool and its incarnation, not null
      */
     public void handleTermination(MinionGone termination) {
         mExecutor.execute(
                 () -> {
                     Shard shard = mLocal.get(termination.getPoolName());
                     if (shard != null) {
-                        shard.onMinionTerminated(termination.getMinion());
+                        shard.onMinionTerminated(
+                                termination.getMinion(), termination.getIncarnationMillis());
                     }
                 });
     }
@@ -90,9 +92,13 @@
                 () -> {
                     Shard shard = mLocal.get(request.getPoolName());
                     boolean isOwner = shard != null && shard.isLoaded();
-                    boolean isEmpty =
-                            isOwner && shard.drain(request.getMinion(), request.isIsUrgent());
-                    reply.complete(new DrainReply(isOwner, isEmpty));
+                    OptionalLong emptyIncarnation =
+                            isOwner
+                                    ? shard.drain(request.getMinion(), request.isIsUrgent())
+                                    : OptionalLong.empty();
+                    reply.complete(
+                            new DrainReply(isOwner, emptyIncarnation.isPresent())
+                                    .setIncarnationMillis(emptyIncarnation.orElse(0)));
                 });
         return reply.future();
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionDrainer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionDrainer.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.endivetray.daemon.job.SchedulerExecutor;
 
@@ -34,12 +35,13 @@
      * @param id id of the minion, not null
      * @param isUrgent whether tasks that are not long-running are stopped too instead of being left
      *     to end
-     * @return whether the minion is known to run nothing
+     * @return start of the minion's incarnation, in milliseconds since 1970, 0 if not reported;
+     *     empty unless it is known to run nothing
      */
-    boolean request(String id, boolean isUrgent) {
+    OptionalLong request(String id, boolean isUrgent) {
         MinionSession minion = mState.mMinions.get(id);
         if (minion == null) {
-            return false;
+            return OptionalLong.empty();
         }
         long now = mExecutor.nanoTime();
         if (!minion.isDrainRequested(now)) {
@@ -47,7 +49,9 @@
         }
         minion.mDrainUntilNanos = now + REQUEST_TTL_NANOS;
         minion.mIsDrainUrgent = isUrgent;
-        return minion.isKnownEmpty();
+        return minion.isKnownEmpty()
+                ? OptionalLong.of(minion.incarnationMillis())
+                : OptionalLong.empty();
     }
 
     /**
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionMonitor.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionMonitor.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.endivetray.daemon.job.shard.ShardState.TerminatedMinion;
 import org.endivetray.job.MinionInfo;
 import org.endivetray.platform.MinionOrders.EndedTask;
 import org.endivetray.platform.MinionOrders.OrderOutcome;
@@ -51,6 +52,12 @@
      */
     private static final long UNREGISTERED_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
+    /**
+     * Time for which the registration of a terminated incarnation is ignored; the platform removes
+     * it after three intervals without a report.
+     */
+    private static final long TERMINATED_NANOS = TimeUnit.MILLISECONDS.toNanos(10_000);
+
     /** Most ends in one listing, as set by the platform's protocol. */
     private static final int MAX_ENDS = 500;
 
@@ -79,6 +86,9 @@
     void onRegistrations(List<MinionInfo> minions) {
         long now = mContext.executor().nanoTime();
         Set<String> registered = new HashSet<>();
+        mState.mTerminatedMinions
+                .values()
+                .removeIf(minion -> now - minion.terminatedNanos() >= TERMINATED_NANOS);
         for (MinionInfo info : minions) {
             if (mState.isTerminated(info)) {
                 continue;
@@ -113,13 +123,30 @@
         }
     }
 
-    /** Removes a minion that was terminated by order, together with all runs on it. */
-    void onMinionTerminated(String id) {
-        mState.mUnreconciledMinions.remove(id);
-        MinionSession session = mState.mMinions.remove(id);
-        mState.mTerminatedMinions.put(id, session == null ? 0 : session.incarnationMillis());
-        if (session != null) {
-            LOGGER.log(Level.INFO, "minion: terminated by order minion={0}", id);
+    /**
+     * Removes a minion that was terminated by order, together with all runs on it, unless another
+     * incarnation than the terminated one has answered last.
+     *
+     * @param id id of the minion, not null
+     * @param incarnationMillis start of the terminated incarnation, in milliseconds since 1970
+     */
+    void onMinionTerminated(String id, long incarnationMillis) {
+        MinionSession session = mState.mMinions.get(id);
+        boolean isSame =
+                session != null
+                        && incarnationMillis != 0
+                        && session.incarnationMillis() == incarnationMillis;
+        LOGGER.log(
+                Level.INFO,
+                "minion: terminated by order minion={0} incarnation={1} known={2}",
+                id,
+                Long.toString(incarnationMillis),
+                isSame);
+        if (isSame) {
+            mState.mUnreconciledMinions.remove(id);
+            mState.mMinions.remove(id);
+            mState.mTerminatedMinions.put(
+                    id, new TerminatedMinion(incarnationMillis, mContext.executor().nanoTime()));
             loseAllRuns(session, "minion terminated by order");
         }
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -5,6 +5,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -288,10 +289,15 @@
         }
     }
 
-    /** Called when a minion was terminated by order, which ended all runs on it. */
-    public void onMinionTerminated(String minion) {
+    /**
+     * Called when an incarnation of a minion was terminated by order, which ended all runs on it.
+     *
+     * @param minion id of the minion, not null
+     * @param incarnationMillis start of the incarnation, in milliseconds since 1970
+     */
+    public void onMinionTerminated(String minion, long incarnationMillis) {
         if (isLoaded()) {
-            mMonitor.onMinionTerminated(minion);
+            mMonitor.onMinionTerminated(minion, incarnationMillis);
         }
     }
 
@@ -388,9 +394,10 @@
      * @param minion id of the minion, not null
      * @param isUrgent whether tasks that are not long-running are stopped too instead of being left
      *     to end
-     * @return whether the minion is known to run nothing
+     * @return start of the minion's incarnation, in milliseconds since 1970, 0 if not reported;
+     *     empty unless it is known to run nothing
      */
-    public boolean drain(String minion, boolean isUrgent) {
-        return acceptsRequests() && mDrainer.request(minion, isUrgent);
+    public OptionalLong drain(String minion, boolean isUrgent) {
+        return acceptsRequests() ? mDrainer.request(minion, isUrgent) : OptionalLong.empty();
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardState.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardState.java
@@ -32,11 +32,8 @@
      */
     long mInheritedLeaseEndNanos;
 
-    /**
-     * Minions that were terminated by order, with the start of their incarnation; their
-     * registrations may remain for a time.
-     */
-    final Map<String, Long> mTerminatedMinions = new HashMap<>();
+    /** Minions that were terminated by order; their registrations may remain for a time. */
+    final Map<String, TerminatedMinion> mTerminatedMinions = new HashMap<>();
 
     boolean mNeedsDispatch;
 
@@ -140,8 +137,8 @@
 
     /** Returns whether a registration is of an incarnation that was terminated by order. */
     boolean isTerminated(MinionInfo info) {
-        Long terminatedMillis = mTerminatedMinions.get(info.id());
-        return terminatedMillis != null && info.bornMillis() <= terminatedMillis;
+        TerminatedMinion terminated = mTerminatedMinions.get(info.id());
+        return terminated != null && info.bornMillis() <= terminated.incarnationMillis();
     }
 
     /** Returns whether a minion that has not answered may still run tasks of an earlier owner. */
@@ -155,4 +152,12 @@
                 && !mUnreconciledMinions.isEmpty()
                 && nowNanos - mInheritedLeaseEndNanos < 0;
     }
+
+    /**
+     * An incarnation of a minion that was terminated by order.
+     *
+     * @param incarnationMillis its start, in milliseconds since 1970
+     * @param terminatedNanos time of the monotonic clock at which this became known, in nanoseconds
+     */
+    record TerminatedMinion(long incarnationMillis, long terminatedNanos) {}
 }
--- a/daemon/src/test/java/org/endivetray/daemon/job/fleet/WaveExecutorTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/fleet/WaveExecutorTest.java
@@ -6,10 +6,12 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.endivetray.daemon.job.virtual.VirtualExecutor;
+import org.endivetray.daemon.job.virtual.VirtualStore;
 import org.endivetray.job.WaveRequest;
 import org.endivetray.job.WorkerInfo;
 import org.endivetray.job.WorkerInfo.WorkerStatus;
 import org.endivetray.platform.WorkerAdmin;
+import org.endivetray.wire.gen.MinionGone;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -104,4 +106,95 @@
         run(1_000, wave);
         assertThat(mOrders.mOrdered).endsWith("w2");
     }
+
+    private List<String> terminated() {
+        return mHarness.mPoolOwner.mTerminated.stream().map(MinionGone::getMinion).toList();
+    }
+
+    /**
+     * Guards against a live minion that is reported as terminated, after the answer to the order
+     * that had ended its predecessor was lost.
+     */
+    @Test
+    void theNextMinionOfAWorkerWhoseOrderWasNotAnsweredIsNotReportedAsTerminated() {
+        mHarness.mHasJobs = true;
+        addWorkers(2);
+        mOrders.mOutcomes.add(WorkerAdmin.WorkerOrderOutcome.UNKNOWN);
+        mOrders.mOtherwise = WorkerAdmin.WorkerOrderOutcome.BUSY;
+        WaveExecutor wave = takeOver("a", 1, LONG_WAVE_MILLIS);
+        run(600, wave);
+        assertThat(mOrders.mOrdered).startsWith("w1");
+        put("w1", WorkerStatus.IN_UPKEEP, "");
+        run(2_000, wave);
+        assertThat(terminated()).containsExactly("i-1");
+        mOrders.mOtherwise = WorkerAdmin.WorkerOrderOutcome.DONE;
+        put("w1", WorkerStatus.UP, "i-11");
+        run(4_000, wave);
+        assertThat(terminated()).doesNotContain("i-11");
+        assertThat(mOrders.mOrdered).contains("w2");
+    }
+
+    /** Guards against the same after the previous owner's order has taken the worker down. */
+    @Test
+    void aMinionIsNotReportedAsTerminatedForAMaintenanceThatThePreviousOwnerHasOrdered() {
+        mHarness.mHasJobs = true;
+        addWorkers(2);
+        run(600, takeOver("a", 1, LONG_WAVE_MILLIS));
+        put("w1", WorkerStatus.UP, "i-11");
+        mHarness.mPoolOwner.mTerminated.clear();
+        // The progress of the previous owner was not stored, so the next one orders again.
+        mHarness.mStore.remove("endivetray/fleet/wave/7");
+        WaveExecutor next = takeOver("b", 1, LONG_WAVE_MILLIS);
+        run(HANDOVER_MILLIS + 4_000, next);
+        assertThat(terminated()).doesNotContain("i-11");
+        assertThat(mOrders.mOrdered).endsWith("w2");
+    }
+
+    @Test
+    void aMinionIsReportedAsTerminatedWithItsIncarnationOnceTheListShowsItsWorkerAsDown() {
+        mHarness.mHasJobs = true;
+        mHarness.mPoolOwner.mIncarnations.put("i-1", 77L);
+        addWorkers(1);
+        WaveExecutor wave = takeOver("a", 1, LONG_WAVE_MILLIS);
+        run(600, wave);
+        assertThat(mOrders.mOrdered).containsExactly("w1");
+        assertThat(terminated()).isEmpty();
+        put("w1", WorkerStatus.IN_UPKEEP, "");
+        run(600, wave);
+        assertThat(mHarness.mPoolOwner.mTerminated)
+                .containsExactly(new MinionGone("ice", "i-1").setIncarnationMillis(77));
+    }
+
+    /** Guards against workers that no pool can get any more after their wave. */
+    @Test
+    void aCompletedWaveHoldsNoWorkersOnceTheyAreBack() {
+        addWorkers(1);
+        WaveExecutor wave = takeOver("a", 1, LONG_WAVE_MILLIS);
+        run(600, wave);
+        put("w1", WorkerStatus.IN_UPKEEP, "");
+        run(1_000, wave);
+        assertThat(wave.workersInProgress()).containsExactly("w1");
+        put("w1", WorkerStatus.UP, "i-11");
+        run(1_000, wave);
+        assertThat(wave.workersInProgress()).isEmpty();
+    }
+
+    /** Guards against an order for a worker on which tasks may have been started again. */
+    @Test
+    void noOrderIsGivenOnceTheDrainMayHaveExpiredWhileTheOrderWasBeingRecorded() {
+        mHarness.mHasJobs = true;
+        addWorkers(1);
+        WaveExecutor wave = takeOver("a", 1, LONG_WAVE_MILLIS);
+        run(100, wave);
+        mHarness.mStore.mMode = VirtualStore.Mode.UNRESPONSIVE;
+        run(400, wave);
+        mHarness.mPoolOwner.mIsUnresponsive = true;
+        run(1_000, wave);
+        mHarness.mStore.mMode = VirtualStore.Mode.UP;
+        run(2_000, wave);
+        assertThat(mOrders.mOrdered).isEmpty();
+        mHarness.mPoolOwner.mIsUnresponsive = false;
+        run(600, wave);
+        assertThat(mOrders.mOrdered).containsExactly("w1");
+    }
 }
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/OwnerChangesTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/OwnerChangesTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.endivetray.job.TaskEnd;
 import org.junit.jupiter.api.Test;
 
@@ -85,4 +86,42 @@
         assertThat(first.isLost()).isTrue();
         assertThat(mHarness.mMinions.mStarts).hasSize(before);
     }
+
+    /**
+     * Guards against runs that are started a second time because their minion is taken for one that
+     * was terminated by order, under the owner at that time and under the next one.
+     */
+    @Test
+    void aMinionThatHasSucceededATerminatedOneKeepsItsTasks() {
+        letTasksRunFor(60_000);
+        Shard first = mHarness.startWith("m1", "m2");
+        OptionalLong earlier = first.drain("m1", false);
+        assertThat(earlier).isPresent();
+        mHarness.mMinions.minion("m1").restart();
+        mHarness.run(5_000, first);
+        mHarness.submit(first, 1, ShardHarness.step(4));
+        mHarness.run(500, first);
+        int running = mHarness.mMinions.minion("m1").mRuns.size();
+        assertThat(running).isPositive();
+        first.onMinionTerminated("m1", earlier.getAsLong());
+        mHarness.run(1_000, first);
+        assertThat(mHarness.mMinions.mStarts).hasSize(4);
+        Shard second = mHarness.takeOver();
+        mHarness.run(1_000, second);
+        assertThat(mHarness.mMinions.mStarts).hasSize(4);
+        assertThat(mHarness.mMinions.minion("m1").mRuns).hasSize(running);
+    }
+
+    @Test
+    void aTerminatedIncarnationIsNotUsedAgainAlthoughItsRegistrationRemains() {
+        Shard shard = mHarness.startWith("m1", "m2");
+        OptionalLong terminated = shard.drain("m1", false);
+        mHarness.mMinions.minion("m1").mIsUnreachable = true;
+        shard.onMinionTerminated("m1", terminated.getAsLong());
+        mHarness.run(1_000, shard);
+        mHarness.submit(shard, 1, ShardHarness.step(4));
+        mHarness.run(1_500, shard);
+        assertThat(mHarness.mMinions.mStarts).hasSize(4);
+        assertThat(mHarness.mMinions.mStarts).allMatch(start -> start.minion().equals("m2"));
+    }
 }
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
@@ -244,14 +244,14 @@
         Shard second = mHarness.takeOver();
         mHarness.run(50, second);
         assertThat(second.isLoaded()).isTrue();
-        assertThat(second.drain("m1", false)).isFalse();
+        assertThat(second.drain("m1", false)).isEmpty();
         assertThat(second.poolLoad().emptyMinions()).isEmpty();
         mHarness.run(2_000, second);
-        assertThat(second.drain("m1", false)).isFalse();
-        assertThat(second.drain("m2", false)).isFalse();
+        assertThat(second.drain("m1", false)).isEmpty();
+        assertThat(second.drain("m2", false)).isEmpty();
         mHarness.mMinions.minion("m1").mIsUnreachable = false;
         mHarness.run(2_000, second);
-        assertThat(second.drain("m1", false)).isFalse();
+        assertThat(second.drain("m1", false)).isEmpty();
         assertThat(mHarness.mMinions.mStarts).hasSize(1);
     }
 
@@ -278,7 +278,7 @@
         mHarness.mRegistered.removeIf(info -> !info.id().equals("m1"));
         mHarness.mMinions.minion("m2").mIsUnreachable = true;
         mHarness.mMinions.minion("m3").mIsUnreachable = true;
-        first.onMinionTerminated("m2");
+        first.onMinionTerminated("m2", 1);
         mHarness.run(12_000, first);
         storeInInbox(1, ShardHarness.step(1));
         Shard second = mHarness.takeOver();
@@ -303,7 +303,7 @@
         mHarness.mMinions.minion("m1").mIsUnreachable = true;
         mHarness.run(2_500, shard);
         for (int i = 0; i < 10; i++) {
-            assertThat(shard.drain("m2", true)).isFalse();
+            assertThat(shard.drain("m2", true)).isEmpty();
             mHarness.run(200, shard);
         }
         assertThat(mHarness.mMinions.minion("m2").mRuns).hasSize(1);
--- a/wire/src/gen-java/org/endivetray/wire/gen/DrainReply.java
+++ b/wire/src/gen-java/org/endivetray/wire/gen/DrainReply.java
@@ -15,17 +15,20 @@
 
   private static final org.apache.thrift.protocol.TField IS_OWNER_FIELD_DESC = new org.apache.thrift.protocol.TField("isOwner", org.apache.thrift.protocol.TType.BOOL, (short)1);
   private static final org.apache.thrift.protocol.TField IS_EMPTY_FIELD_DESC = new org.apache.thrift.protocol.TField("isEmpty", org.apache.thrift.protocol.TType.BOOL, (short)2);
+  private static final org.apache.thrift.protocol.TField INCARNATION_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnationMillis", org.apache.thrift.protocol.TType.I64, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DrainReplyStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DrainReplyTupleSchemeFactory();
 
   private boolean isOwner; // required
   private boolean isEmpty; // required
+  private long incarnationMillis; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     IS_OWNER((short)1, "isOwner"),
-    IS_EMPTY((short)2, "isEmpty");
+    IS_EMPTY((short)2, "isEmpty"),
+    INCARNATION_MILLIS((short)3, "incarnationMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -45,6 +48,8 @@
           return IS_OWNER;
         case 2: // IS_EMPTY
           return IS_EMPTY;
+        case 3: // INCARNATION_MILLIS
+          return INCARNATION_MILLIS;
         default:
           return null;
       }
@@ -90,7 +95,9 @@
   // isset id assignments
   private static final int __ISOWNER_ISSET_ID = 0;
   private static final int __ISEMPTY_ISSET_ID = 1;
+  private static final int __INCARNATIONMILLIS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.INCARNATION_MILLIS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -98,6 +105,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.IS_EMPTY, new org.apache.thrift.meta_data.FieldMetaData("isEmpty", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.INCARNATION_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("incarnationMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DrainReply.class, metaDataMap);
   }
@@ -123,6 +132,7 @@
     __isset_bitfield = other.__isset_bitfield;
     this.isOwner = other.isOwner;
     this.isEmpty = other.isEmpty;
+    this.incarnationMillis = other.incarnationMillis;
   }
 
   @Override
@@ -136,6 +146,8 @@
     this.isOwner = false;
     setIsEmptyIsSet(false);
     this.isEmpty = false;
+    setIncarnationMillisIsSet(false);
+    this.incarnationMillis = 0;
   }
 
   public boolean isIsOwner() {
@@ -184,6 +196,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ISEMPTY_ISSET_ID, value);
   }
 
+  public long getIncarnationMillis() {
+    return this.incarnationMillis;
+  }
+
+  public DrainReply setIncarnationMillis(long incarnationMillis) {
+    this.incarnationMillis = incarnationMillis;
+    setIncarnationMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetIncarnationMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATIONMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field incarnationMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetIncarnationMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATIONMILLIS_ISSET_ID);
+  }
+
+  public void setIncarnationMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATIONMILLIS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -203,6 +238,14 @@
       }
       break;
 
+    case INCARNATION_MILLIS:
+      if (value == null) {
+        unsetIncarnationMillis();
+      } else {
+        setIncarnationMillis((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -216,6 +259,9 @@
     case IS_EMPTY:
       return isIsEmpty();
 
+    case INCARNATION_MILLIS:
+      return getIncarnationMillis();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -232,6 +278,8 @@
       return isSetIsOwner();
     case IS_EMPTY:
       return isSetIsEmpty();
+    case INCARNATION_MILLIS:
+      return isSetIncarnationMillis();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -267,6 +315,15 @@
         return false;
     }
 
+    boolean this_present_incarnationMillis = true && this.isSetIncarnationMillis();
+    boolean that_present_incarnationMillis = true && that.isSetIncarnationMillis();
+    if (this_present_incarnationMillis || that_present_incarnationMillis) {
+      if (!(this_present_incarnationMillis && that_present_incarnationMillis))
+        return false;
+      if (this.incarnationMillis != that.incarnationMillis)
+        return false;
+    }
+
     return true;
   }
 
@@ -278,6 +335,10 @@
 
     hashCode = hashCode * 8191 + ((isEmpty) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetIncarnationMillis()) ? 131071 : 524287);
+    if (isSetIncarnationMillis())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnationMillis);
+
     return hashCode;
   }
 
@@ -309,6 +370,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetIncarnationMillis(), other.isSetIncarnationMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIncarnationMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnationMillis, other.incarnationMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -340,6 +411,12 @@
     sb.append("isEmpty:");
     sb.append(this.isEmpty);
     first = false;
+    if (isSetIncarnationMillis()) {
+      if (!first) sb.append(", ");
+      sb.append("incarnationMillis:");
+      sb.append(this.incarnationMillis);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -405,6 +482,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // INCARNATION_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.incarnationMillis = iprot.readI64();
+              struct.setIncarnationMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -433,6 +518,11 @@
       oprot.writeFieldBegin(IS_EMPTY_FIELD_DESC);
       oprot.writeBool(struct.isEmpty);
       oprot.writeFieldEnd();
+      if (struct.isSetIncarnationMillis()) {
+        oprot.writeFieldBegin(INCARNATION_MILLIS_FIELD_DESC);
+        oprot.writeI64(struct.incarnationMillis);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -453,6 +543,14 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       oprot.writeBool(struct.isOwner);
       oprot.writeBool(struct.isEmpty);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetIncarnationMillis()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetIncarnationMillis()) {
+        oprot.writeI64(struct.incarnationMillis);
+      }
     }
 
     @Override
@@ -462,6 +560,11 @@
       struct.setIsOwnerIsSet(true);
       struct.isEmpty = iprot.readBool();
       struct.setIsEmptyIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.incarnationMillis = iprot.readI64();
+        struct.setIncarnationMillisIsSet(true);
+      }
     }
   }
 
--- a/wire/src/gen-java/org/endivetray/wire/gen/MinionGone.java
+++ b/wire/src/gen-java/org/endivetray/wire/gen/MinionGone.java
@@ -7,7 +7,7 @@
 package org.endivetray.wire.gen;
 
 /**
- * Reports that a minion has terminated together with all runs on it.
+ * Reports that an incarnation of a minion has terminated together with all runs on it.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class MinionGone implements org.apache.thrift.TBase<MinionGone, MinionGone._Fields>, java.io.Serializable, Cloneable, Comparable<MinionGone> {
@@ -15,17 +15,20 @@
 
   private static final org.apache.thrift.protocol.TField POOL_NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("poolName", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField MINION_FIELD_DESC = new org.apache.thrift.protocol.TField("minion", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField INCARNATION_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnationMillis", org.apache.thrift.protocol.TType.I64, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new MinionGoneStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new MinionGoneTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable java.lang.String poolName; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String minion; // required
+  private long incarnationMillis; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     POOL_NAME((short)1, "poolName"),
-    MINION((short)2, "minion");
+    MINION((short)2, "minion"),
+    INCARNATION_MILLIS((short)3, "incarnationMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -45,6 +48,8 @@
           return POOL_NAME;
         case 2: // MINION
           return MINION;
+        case 3: // INCARNATION_MILLIS
+          return INCARNATION_MILLIS;
         default:
           return null;
       }
@@ -88,6 +93,9 @@
   }
 
   // isset id assignments
+  private static final int __INCARNATIONMILLIS_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.INCARNATION_MILLIS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -95,6 +103,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.MINION, new org.apache.thrift.meta_data.FieldMetaData("minion", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.INCARNATION_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("incarnationMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(MinionGone.class, metaDataMap);
   }
@@ -115,12 +125,14 @@
    * Performs a deep copy on <i>other</i>.
    */
   public MinionGone(MinionGone other) {
+    __isset_bitfield = other.__isset_bitfield;
     if (other.isSetPoolName()) {
       this.poolName = other.poolName;
     }
     if (other.isSetMinion()) {
       this.minion = other.minion;
     }
+    this.incarnationMillis = other.incarnationMillis;
   }
 
   @Override
@@ -132,6 +144,8 @@
   public void clear() {
     this.poolName = null;
     this.minion = null;
+    setIncarnationMillisIsSet(false);
+    this.incarnationMillis = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -184,6 +198,29 @@
     }
   }
 
+  public long getIncarnationMillis() {
+    return this.incarnationMillis;
+  }
+
+  public MinionGone setIncarnationMillis(long incarnationMillis) {
+    this.incarnationMillis = incarnationMillis;
+    setIncarnationMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetIncarnationMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATIONMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field incarnationMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetIncarnationMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATIONMILLIS_ISSET_ID);
+  }
+
+  public void setIncarnationMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATIONMILLIS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -203,6 +240,14 @@
       }
       break;
 
+    case INCARNATION_MILLIS:
+      if (value == null) {
+        unsetIncarnationMillis();
+      } else {
+        setIncarnationMillis((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -216,6 +261,9 @@
     case MINION:
       return getMinion();
 
+    case INCARNATION_MILLIS:
+      return getIncarnationMillis();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -232,6 +280,8 @@
       return isSetPoolName();
     case MINION:
       return isSetMinion();
+    case INCARNATION_MILLIS:
+      return isSetIncarnationMillis();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -267,6 +317,15 @@
         return false;
     }
 
+    boolean this_present_incarnationMillis = true && this.isSetIncarnationMillis();
+    boolean that_present_incarnationMillis = true && that.isSetIncarnationMillis();
+    if (this_present_incarnationMillis || that_present_incarnationMillis) {
+      if (!(this_present_incarnationMillis && that_present_incarnationMillis))
+        return false;
+      if (this.incarnationMillis != that.incarnationMillis)
+        return false;
+    }
+
     return true;
   }
 
@@ -282,6 +341,10 @@
     if (isSetMinion())
       hashCode = hashCode * 8191 + minion.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetIncarnationMillis()) ? 131071 : 524287);
+    if (isSetIncarnationMillis())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnationMillis);
+
     return hashCode;
   }
 
@@ -313,6 +376,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetIncarnationMillis(), other.isSetIncarnationMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIncarnationMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnationMillis, other.incarnationMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -352,6 +425,12 @@
       sb.append(this.minion);
     }
     first = false;
+    if (isSetIncarnationMillis()) {
+      if (!first) sb.append(", ");
+      sb.append("incarnationMillis:");
+      sb.append(this.incarnationMillis);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -377,6 +456,8 @@
 
   private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
     try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
       read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
     } catch (org.apache.thrift.TException te) {
       throw new java.io.IOException(te);
@@ -419,6 +500,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // INCARNATION_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.incarnationMillis = iprot.readI64();
+              struct.setIncarnationMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -445,6 +534,11 @@
         oprot.writeString(struct.minion);
         oprot.writeFieldEnd();
       }
+      if (struct.isSetIncarnationMillis()) {
+        oprot.writeFieldBegin(INCARNATION_MILLIS_FIELD_DESC);
+        oprot.writeI64(struct.incarnationMillis);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -465,6 +559,14 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       oprot.writeString(struct.poolName);
       oprot.writeString(struct.minion);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetIncarnationMillis()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetIncarnationMillis()) {
+        oprot.writeI64(struct.incarnationMillis);
+      }
     }
 
     @Override
@@ -474,6 +576,11 @@
       struct.setPoolNameIsSet(true);
       struct.minion = iprot.readString();
       struct.setMinionIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.incarnationMillis = iprot.readI64();
+        struct.setIncarnationMillisIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/thrift/inner.thrift
+++ b/wire/src/main/thrift/inner.thrift
@@ -118,16 +118,18 @@
   3: required bool isUrgent
 }
 
-/** Reports that a minion has terminated together with all runs on it. */
+/** Reports that an incarnation of a minion has terminated together with all runs on it. */
 struct MinionGone {
   1: required string poolName
   2: required string minion
+  3: optional i64 incarnationMillis
 }
 
 /** Replies to a drain request. */
 struct DrainReply {
   1: required bool isOwner
   2: required bool isEmpty
+  3: optional i64 incarnationMillis
 }
 
 /** Asks the owner of a pool's jobs for the pool's load. */
