--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -235,7 +235,12 @@
                                         "daemon: listening front={0} inner={1}",
                                         Integer.toString(mHttpServer.frontPort()),
                                         Integer.toString(inner.result())))
-                .onFailure(cause -> LOGGER.log(Level.ERROR, "daemon: cannot listen {0}", cause));
+                .onFailure(
+                        cause ->
+                                LOGGER.log(
+                                        Level.ERROR,
+                                        "daemon: cannot listen reason={0}",
+                                        cause.getMessage()));
         mExecutor.execute(
                 () -> {
                     mSite.start();
--- a/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetManager.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/fleet/FleetManager.java
@@ -137,7 +137,10 @@
                         (workers, cause) -> {
                             mIsListing = false;
                             if (cause != null) {
-                                LOGGER.log(Level.INFO, "fleet: cannot list workers {0}", cause);
+                                LOGGER.log(
+                                        Level.INFO,
+                                        "fleet: cannot list workers reason={0}",
+                                        cause.getMessage());
                             } else if (mOwner == owner) {
                                 onWorkers(workers, nowNanos);
                             }
--- a/daemon/src/main/java/org/endivetray/daemon/job/ownership/MinionDirectory.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ownership/MinionDirectory.java
@@ -3,8 +3,10 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.endivetray.daemon.job.SchedulerExecutor;
 import org.endivetray.job.MinionInfo;
@@ -31,6 +33,10 @@
     private final BooleanSupplier mIsNeeded;
     private final Runnable mOnChange;
     private final Map<String, MinionInfo> mMinions = new HashMap<>();
+
+    /** Keys of the present registrations that name no minion. */
+    private final Set<String> mIgnored = new HashSet<>();
+
     private boolean mIsRunning;
 
     /**
@@ -80,7 +86,10 @@
                 mStore.list(SiteCodec.MINIONS_PREFIX, false),
                 (range, cause) -> {
                     if (cause != null) {
-                        LOGGER.log(Level.INFO, "minion: cannot list registrations {0}", cause);
+                        LOGGER.log(
+                                Level.INFO,
+                                "minion: cannot list registrations reason={0}",
+                                cause.getMessage());
                         mExecutor.schedule(PAUSE_MILLIS, this::list);
                         return;
                     }
@@ -116,6 +125,13 @@
                 item.isPresent()
                         ? SiteCodec.decodeMinion(item.key(), item.value()).orElse(null)
                         : null;
+        boolean isIgnored = item.isPresent() && info == null;
+        if (!isIgnored) {
+            mIgnored.remove(item.key());
+        } else if (mIgnored.add(item.key())) {
+            LOGGER.log(
+                    Level.INFO, "minion: ignored registration that names none key={0}", item.key());
+        }
         if (info == null) {
             mMinions.remove(item.key().substring(SiteCodec.MINIONS_PREFIX.length()));
         } else {
