Know changes in the store in time after connections have gone silent

Cause: a watch call whose connection had gone silent failed after 4 s, more than the 3 s after which the platform counts a daemon as in touch. A call without a reply closed its own connection only, and the next call ran into its limit on another silent connection of the pool.

Change: one StoreWatch for all four watches; the longest wait follows from the new setting silenceMillis.

--- a/daemon/src/main/java/org/endivetray/daemon/archive/ArchiveTraining.java
+++ b/daemon/src/main/java/org/endivetray/daemon/archive/ArchiveTraining.java
@@ -96,6 +96,7 @@
                 oneSecondMillis,
                 oneSecondMillis,
                 oneSecondMillis,
+                oneSecondMillis,
                 LOG_LEVEL);
     }
 
--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -28,6 +28,7 @@
 import org.endivetray.daemon.job.shard.MemoryUse;
 import org.endivetray.daemon.job.shard.ShardContext;
 import org.endivetray.daemon.job.shard.ShardLimits;
+import org.endivetray.daemon.job.watch.StoreWatch;
 import org.endivetray.daemon.observe.JobMetrics;
 import org.endivetray.daemon.observe.LogSetup;
 import org.endivetray.job.SiteConfig;
@@ -84,6 +85,7 @@
     private final Duty mScheduler;
     private final DutyExecutor mExecutor;
     private final RelayingStore mStore;
+    private final StoreWatch.Timing mWatchTiming;
     private final SiteWatch mSite;
     private final OwnershipWatch mOwners;
     private final MinionDirectory mMinions;
@@ -110,8 +112,9 @@
         LocalShards local = new LocalShards(mExecutor);
         Peers peers = new Peers(mVertx, settings.name(), incarnation);
         mStore = relayingStore(peers);
-        mSite = new SiteWatch(mStore, mExecutor, this::onSiteChange);
-        mOwners = new OwnershipWatch(mStore, mExecutor, () -> {});
+        mWatchTiming = StoreWatch.Timing.ofSilence(settings.silenceMillis());
+        mSite = new SiteWatch(mStore, mExecutor, mWatchTiming, this::onSiteChange);
+        mOwners = new OwnershipWatch(mStore, mExecutor, mWatchTiming, () -> {});
         PoolRequestHandler pools = new PoolRequestHandler(local, mExecutor);
         mFleet =
                 new FleetManager(
@@ -129,7 +132,9 @@
                                 settings.holderMillis()),
                         mSite);
         mShards = new ShardLifecycle(shardContext(metrics), local, mFleet, this::ownership);
-        mMinions = new MinionDirectory(mStore, mExecutor, mShards::hasShards, this::onMinions);
+        mMinions =
+                new MinionDirectory(
+                        mStore, mExecutor, mWatchTiming, mShards::hasShards, this::onMinions);
         mRouter =
                 new JobRouter(
                         settings.name(),
@@ -197,7 +202,8 @@
                 mExecutor,
                 new MemoryUse(),
                 metrics,
-                new ShardLimits(mSettings.maxLeaseMillis(), mSettings.retentionMillis()));
+                new ShardLimits(
+                        mSettings.maxLeaseMillis(), mSettings.retentionMillis(), mWatchTiming));
     }
 
     private boolean hasJobs(String pool) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/JobSettings.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobSettings.java
@@ -35,6 +35,8 @@
  *     milliseconds
  * @param retentionMillis time for which the state of an ended job is kept, in milliseconds
  * @param graceMillis time from the request to stop until the process is killed, in milliseconds
+ * @param silenceMillis time within which changes in the store are in force after open connections
+ *     have gone silent, in milliseconds
  * @param logLevel lowest level that is logged, not null
  */
 public record JobSettings(
@@ -54,8 +56,10 @@
         long holderMillis,
         long retentionMillis,
         long graceMillis,
+        long silenceMillis,
         String logLevel) {
     private static final int MAX_PORT = 65_535;
+    private static final long DEFAULT_SILENCE_MILLIS = 3_000;
     private static final long MILLIS_PER_SECOND = 1_000;
     private static final long MILLIS_PER_CORE = 1_000;
 
@@ -121,6 +125,9 @@
                         reader.positive("holderMillis", 1),
                         reader.positive("retentionSeconds", MILLIS_PER_SECOND),
                         reader.positive("graceSeconds", MILLIS_PER_SECOND),
+                        root.has("silenceMillis")
+                                ? reader.positive("silenceMillis", 1)
+                                : DEFAULT_SILENCE_MILLIS,
                         root.path("logLevel").asText("INFO"));
         reader.check();
         return settings;
--- a/daemon/src/main/java/org/endivetray/daemon/job/ownership/MinionDirectory.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ownership/MinionDirectory.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.endivetray.daemon.job.SchedulerExecutor;
+import org.endivetray.daemon.job.watch.StoreWatch;
 import org.endivetray.job.MinionInfo;
 import org.endivetray.platform.SharedStore;
 import org.endivetray.platform.VersionedValue;
@@ -19,17 +20,13 @@
  *
  * <p>This class is not thread-safe; it belongs to the scheduler's thread.
  */
-public final class MinionDirectory {
+public final class MinionDirectory implements StoreWatch.Listener {
     private static final Logger LOGGER = System.getLogger(MinionDirectory.class.getName());
 
-    /** Longest wait of one watch call. */
-    private static final long WAIT_MILLIS = 5_000;
-
     /** Delay between calls, because minions rewrite their registrations continuously. */
     private static final long PAUSE_MILLIS = 300;
 
-    private final SharedStore mStore;
-    private final SchedulerExecutor mExecutor;
+    private final StoreWatch mWatch;
     private final BooleanSupplier mIsNeeded;
     private final Runnable mOnChange;
     private final Map<String, MinionInfo> mMinions = new HashMap<>();
@@ -37,32 +34,37 @@
     /** Keys of the present registrations that name no minion. */
     private final Set<String> mIgnored = new HashSet<>();
 
-    private boolean mIsRunning;
-
     /**
      * Constructs an empty directory.
      *
      * @param store the shared store, not null
      * @param executor runs results on the scheduler's thread, not null
+     * @param timing the times of the watch, not null
      * @param isNeeded whether this daemon owns shards, not null
      * @param onChange called after each change, not null
      */
     public MinionDirectory(
             SharedStore store,
             SchedulerExecutor executor,
+            StoreWatch.Timing timing,
             BooleanSupplier isNeeded,
             Runnable onChange) {
-        mStore = store;
-        mExecutor = executor;
+        mWatch =
+                new StoreWatch(
+                        store,
+                        executor,
+                        SiteCodec.MINIONS_PREFIX,
+                        timing.withPause(PAUSE_MILLIS),
+                        isNeeded,
+                        this);
         mIsNeeded = isNeeded;
         mOnChange = onChange;
     }
 
     /** Starts the watch if this daemon owns shards and the watch is not running yet. */
     public void ensureRunning() {
-        if (!mIsRunning && mIsNeeded.getAsBoolean()) {
-            mIsRunning = true;
-            list();
+        if (mIsNeeded.getAsBoolean()) {
+            mWatch.start();
         }
     }
 
@@ -71,53 +73,19 @@
         return mMinions.values().stream().filter(info -> info.pool().equals(pool)).toList();
     }
 
-    private boolean stopIfUnneeded() {
-        if (!mIsNeeded.getAsBoolean()) {
-            mIsRunning = false;
-        }
-        return !mIsRunning;
-    }
-
-    private void list() {
-        if (stopIfUnneeded()) {
-            return;
-        }
-        mExecutor.onComplete(
-                mStore.list(SiteCodec.MINIONS_PREFIX, false),
-                (range, cause) -> {
-                    if (cause != null) {
-                        LOGGER.log(
-                                Level.INFO,
-                                "minion: cannot list registrations reason={0}",
-                                cause.getMessage());
-                        mExecutor.schedule(PAUSE_MILLIS, this::list);
-                        return;
-                    }
-                    mMinions.clear();
-                    range.entries().forEach(this::apply);
-                    mOnChange.run();
-                    mExecutor.schedule(PAUSE_MILLIS, () -> watch(range.revision()));
-                });
+    @Override
+    public void onListed(SharedStore.Range range) {
+        mMinions.clear();
+        range.entries().forEach(this::apply);
+        mOnChange.run();
     }
 
-    private void watch(long revision) {
-        if (stopIfUnneeded()) {
-            return;
+    @Override
+    public void onChanged(SharedStore.Range range) {
+        range.entries().forEach(this::apply);
+        if (!range.entries().isEmpty()) {
+            mOnChange.run();
         }
-        mExecutor.onComplete(
-                mStore.watch(SiteCodec.MINIONS_PREFIX, revision, WAIT_MILLIS),
-                (range, cause) -> {
-                    if (cause != null) {
-                        mExecutor.schedule(PAUSE_MILLIS, this::list);
-                        return;
-                    }
-                    range.entries().forEach(this::apply);
-                    if (!range.entries().isEmpty()) {
-                        mOnChange.run();
-                    }
-                    long next = Math.max(revision, range.revision());
-                    mExecutor.schedule(PAUSE_MILLIS, () -> watch(next));
-                });
     }
 
     private void apply(VersionedValue item) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipWatch.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipWatch.java
@@ -7,6 +7,7 @@
 import org.endivetray.EndivetrayException;
 import org.endivetray.daemon.job.SchedulerExecutor;
 import org.endivetray.daemon.job.record.JobKeys;
+import org.endivetray.daemon.job.watch.StoreWatch;
 import org.endivetray.platform.RecordCodec;
 import org.endivetray.platform.SharedStore;
 import org.endivetray.platform.VersionedValue;
@@ -18,46 +19,34 @@
  *
  * <p>Only {@link #view} is thread-safe; the rest belongs to the scheduler's thread.
  */
-public final class OwnershipWatch {
+public final class OwnershipWatch implements StoreWatch.Listener {
     private static final Logger LOGGER = System.getLogger(OwnershipWatch.class.getName());
 
-    /**
-     * Longest wait of one watch call, which bounds the time for which owners are not updated if the
-     * connection of the call has gone silent.
-     */
-    private static final long WAIT_MILLIS = 4_000;
-
-    /** Delay before the keys are listed again after a list or watch call has failed. */
-    private static final long RETRY_MILLIS = 250;
-
-    private final SharedStore mStore;
-    private final SchedulerExecutor mExecutor;
+    private final StoreWatch mWatch;
     private final Runnable mOnChange;
     private final Map<String, VersionedValue> mItems = new HashMap<>();
     private volatile OwnershipView mView = OwnershipView.EMPTY;
-    private boolean mIsStopped;
 
     /**
      * Constructs a watch that has not been started.
      *
      * @param store the shared store, not null
      * @param executor runs results on the scheduler's thread, not null
+     * @param timing the times of the watch, not null
      * @param onChange called after each change, not null
      */
-    public OwnershipWatch(SharedStore store, SchedulerExecutor executor, Runnable onChange) {
-        mStore = store;
-        mExecutor = executor;
+    public OwnershipWatch(
+            SharedStore store,
+            SchedulerExecutor executor,
+            StoreWatch.Timing timing,
+            Runnable onChange) {
+        mWatch = new StoreWatch(store, executor, JobKeys.LIVE_PREFIX, timing, () -> true, this);
         mOnChange = onChange;
     }
 
     /** Starts the watch. */
     public void start() {
-        list();
-    }
-
-    /** Stops the watch. */
-    public void stop() {
-        mIsStopped = true;
+        mWatch.start();
     }
 
     /** Returns the latest view. */
@@ -65,44 +54,17 @@
         return mView;
     }
 
-    private void list() {
-        if (mIsStopped) {
-            return;
-        }
-        mExecutor.onComplete(
-                mStore.list(JobKeys.LIVE_PREFIX, false),
-                (range, cause) -> {
-                    if (cause != null) {
-                        LOGGER.log(
-                                Level.INFO,
-                                "state: cannot list daemons and owners reason={0}",
-                                cause);
-                        mExecutor.schedule(RETRY_MILLIS, this::list);
-                        return;
-                    }
-                    mItems.clear();
-                    range.entries().forEach(item -> mItems.put(item.key(), item));
-                    publish(range.revision());
-                    watch(range.revision());
-                });
+    @Override
+    public void onListed(SharedStore.Range range) {
+        mItems.clear();
+        range.entries().forEach(item -> mItems.put(item.key(), item));
+        publish(range.revision());
     }
 
-    private void watch(long revision) {
-        if (mIsStopped) {
-            return;
-        }
-        mExecutor.onComplete(
-                mStore.watch(JobKeys.LIVE_PREFIX, revision, WAIT_MILLIS),
-                (range, cause) -> {
-                    if (cause != null) {
-                        mExecutor.schedule(RETRY_MILLIS, this::list);
-                        return;
-                    }
-                    range.entries().forEach(this::apply);
-                    long next = Math.max(revision, range.revision());
-                    publish(next);
-                    watch(next);
-                });
+    @Override
+    public void onChanged(SharedStore.Range range) {
+        range.entries().forEach(this::apply);
+        publish(Math.max(mView.revision(), range.revision()));
     }
 
     private void apply(VersionedValue item) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/ownership/SiteWatch.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ownership/SiteWatch.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.endivetray.daemon.job.SchedulerExecutor;
+import org.endivetray.daemon.job.watch.StoreWatch;
 import org.endivetray.job.SiteConfig;
 import org.endivetray.job.WaveRequest;
 import org.endivetray.platform.SharedStore;
@@ -19,46 +20,36 @@
  * <p>{@link #config} and {@link #waves} are thread-safe; the rest belongs to the scheduler's
  * thread.
  */
-public final class SiteWatch {
+public final class SiteWatch implements StoreWatch.Listener {
     private static final Logger LOGGER = System.getLogger(SiteWatch.class.getName());
 
-    /**
-     * Longest wait of one watch call. A configuration must be in force within seconds, also if the
-     * connection of the call has gone silent.
-     */
-    private static final long WAIT_MILLIS = 2_500;
-
-    /** Delay before the keys are listed again after a list or watch call has failed. */
-    private static final long RETRY_MILLIS = 200;
-
-    private final SharedStore mStore;
-    private final SchedulerExecutor mExecutor;
+    private final StoreWatch mWatch;
     private final Runnable mOnChange;
     private volatile SiteConfig mConfig;
     private volatile Map<Long, WaveRequest> mWaves = Map.of();
-    private boolean mIsStopped;
 
     /**
      * Constructs a watch that has not been started.
      *
      * @param store the shared store, not null
      * @param executor runs results on the scheduler's thread, not null
+     * @param timing the times of the watch, not null
      * @param onChange called after each change, not null
      */
-    public SiteWatch(SharedStore store, SchedulerExecutor executor, Runnable onChange) {
-        mStore = store;
-        mExecutor = executor;
+    public SiteWatch(
+            SharedStore store,
+            SchedulerExecutor executor,
+            StoreWatch.Timing timing,
+            Runnable onChange) {
+        mWatch =
+                new StoreWatch(
+                        store, executor, SiteCodec.OPERATORS_PREFIX, timing, () -> true, this);
         mOnChange = onChange;
     }
 
     /** Starts the watch. */
     public void start() {
-        list();
-    }
-
-    /** Stops the watch. */
-    public void stop() {
-        mIsStopped = true;
+        mWatch.start();
     }
 
     /** Returns the configuration in force, null if none is known. */
@@ -71,38 +62,14 @@
         return mWaves;
     }
 
-    private void list() {
-        if (mIsStopped) {
-            return;
-        }
-        mExecutor.onComplete(
-                mStore.list(SiteCodec.OPERATORS_PREFIX, false),
-                (range, cause) -> {
-                    if (cause != null) {
-                        LOGGER.log(
-                                Level.INFO, "config: cannot read configuration reason={0}", cause);
-                        mExecutor.schedule(RETRY_MILLIS, this::list);
-                        return;
-                    }
-                    apply(range);
-                    watch(range.revision());
-                });
+    @Override
+    public void onListed(SharedStore.Range range) {
+        apply(range);
     }
 
-    private void watch(long revision) {
-        if (mIsStopped) {
-            return;
-        }
-        mExecutor.onComplete(
-                mStore.watch(SiteCodec.OPERATORS_PREFIX, revision, WAIT_MILLIS),
-                (range, cause) -> {
-                    if (cause != null) {
-                        mExecutor.schedule(RETRY_MILLIS, this::list);
-                        return;
-                    }
-                    apply(range);
-                    watch(Math.max(revision, range.revision()));
-                });
+    @Override
+    public void onChanged(SharedStore.Range range) {
+        apply(range);
     }
 
     private void apply(SharedStore.Range range) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/InboxWatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/InboxWatcher.java
@@ -1,10 +1,10 @@
 package org.endivetray.daemon.job.shard;
 
-import io.vertx.core.Future;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.function.BooleanSupplier;
 import org.endivetray.daemon.job.record.JobKeys;
+import org.endivetray.daemon.job.watch.StoreWatch;
 import org.endivetray.platform.SharedStore;
 import org.endivetray.platform.VersionedValue;
 
@@ -14,19 +14,14 @@
  *
  * <p>This class is not thread-safe; it belongs to the scheduler's thread.
  */
-final class InboxWatcher {
+final class InboxWatcher implements StoreWatch.Listener {
     private static final Logger LOGGER = System.getLogger(InboxWatcher.class.getName());
 
-    /** Longest wait of one watch call, well below the longest that the platform allows. */
-    private static final long WAIT_MILLIS = 10_000;
-
-    /** Delay before the inbox is listed again after a listing has failed. */
-    private static final long RETRY_MILLIS = 300;
-
     private final ShardContext mContext;
     private final ShardState mState;
     private final JobRequestHandler mRequestHandler;
     private final BooleanSupplier mIsShardLost;
+    private final StoreWatch mWatch;
 
     InboxWatcher(
             ShardContext context,
@@ -37,48 +32,29 @@
         mState = state;
         mRequestHandler = requestHandler;
         mIsShardLost = isShardLost;
+        mWatch =
+                new StoreWatch(
+                        context.store(),
+                        context.executor(),
+                        JobKeys.inbox(state.mPool),
+                        context.limits().watchTiming(),
+                        () -> !isShardLost.getAsBoolean(),
+                        this);
     }
 
     /** Starts to watch for changes after a revision of the store. */
     void start(long revision) {
-        watch(revision);
+        mWatch.startAfter(revision);
     }
 
-    private void watch(long revision) {
-        if (mIsShardLost.getAsBoolean()) {
-            return;
-        }
-        String prefix = JobKeys.inbox(mState.mPool);
-        mContext.executor()
-                .onComplete(
-                        mContext.store().watch(prefix, revision, WAIT_MILLIS),
-                        (range, cause) -> {
-                            if (cause != null) {
-                                list();
-                            } else {
-                                apply(range);
-                                watch(Math.max(revision, range.revision()));
-                            }
-                        });
+    @Override
+    public void onListed(SharedStore.Range range) {
+        apply(range);
     }
 
-    /** Lists the whole inbox after a watch call has failed, since changes may have been missed. */
-    private void list() {
-        if (mIsShardLost.getAsBoolean()) {
-            return;
-        }
-        Future<SharedStore.Range> range = mContext.store().list(JobKeys.inbox(mState.mPool), false);
-        mContext.executor()
-                .onComplete(
-                        range,
-                        (result, cause) -> {
-                            if (cause != null) {
-                                mContext.executor().schedule(RETRY_MILLIS, this::list);
-                            } else {
-                                apply(result);
-                                watch(result.revision());
-                            }
-                        });
+    @Override
+    public void onChanged(SharedStore.Range range) {
+        apply(range);
     }
 
     private void apply(SharedStore.Range range) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardLimits.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardLimits.java
@@ -1,5 +1,7 @@
 package org.endivetray.daemon.job.shard;
 
+import org.endivetray.daemon.job.watch.StoreWatch;
+
 /**
  * Time limits that the platform sets.
  *
@@ -8,5 +10,7 @@
  * @param maxLeaseMillis longest lease of the runs on a minion, in milliseconds
  * @param retentionMillis time for which callers can query the state of an ended job, in
  *     milliseconds
+ * @param watchTiming times of the watches on the shared store, not null
  */
-public record ShardLimits(long maxLeaseMillis, long retentionMillis) {}
+public record ShardLimits(
+        long maxLeaseMillis, long retentionMillis, StoreWatch.Timing watchTiming) {}
--- a/daemon/src/test/java/org/endivetray/daemon/job/ownership/OwnershipManagerTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/ownership/OwnershipManagerTest.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import org.endivetray.daemon.job.virtual.VirtualExecutor;
 import org.endivetray.daemon.job.virtual.VirtualStore;
+import org.endivetray.daemon.job.watch.StoreWatch;
 import org.junit.jupiter.api.Test;
 
 class OwnershipManagerTest {
@@ -26,7 +27,9 @@
         private boolean mIsCrashed;
 
         private SimulatedDaemon(String name, long incarnation) {
-            OwnershipWatch watch = new OwnershipWatch(mStore, mExecutor, () -> {});
+            OwnershipWatch watch =
+                    new OwnershipWatch(
+                            mStore, mExecutor, StoreWatch.Timing.ofSilence(3_000), () -> {});
             mOwnership =
                     new OwnershipManager(
                             mStore,
--- a/daemon/src/test/java/org/endivetray/daemon/job/relay/RelayingStoreTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/relay/RelayingStoreTest.java
@@ -17,6 +17,7 @@
 import org.endivetray.daemon.job.relay.UnreliableStore.Path;
 import org.endivetray.daemon.job.virtual.VirtualExecutor;
 import org.endivetray.daemon.job.virtual.VirtualStore;
+import org.endivetray.daemon.job.watch.StoreWatch;
 import org.endivetray.platform.SharedStore;
 import org.endivetray.platform.SharedStore.Commit;
 import org.endivetray.platform.SharedStore.CommitOutcome;
@@ -63,7 +64,9 @@
                                     (peer, body, timeout) ->
                                             mDaemons.get(peer.name()).answer(body)),
                             mExecutor::nanoTime);
-            OwnershipWatch watch = new OwnershipWatch(mRelaying, mExecutor, () -> {});
+            OwnershipWatch watch =
+                    new OwnershipWatch(
+                            mRelaying, mExecutor, StoreWatch.Timing.ofSilence(3_000), () -> {});
             mOwnership =
                     new OwnershipManager(
                             mRelaying, mExecutor, watch, daemonRecord(name), SETTLE_MILLIS, this);
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
@@ -6,6 +6,7 @@
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.daemon.job.virtual.VirtualExecutor;
 import org.endivetray.daemon.job.virtual.VirtualStore;
+import org.endivetray.daemon.job.watch.StoreWatch;
 import org.endivetray.daemon.observe.JobMetrics;
 import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobSpec;
@@ -59,7 +60,7 @@
                         mExecutor,
                         new MemoryUse(),
                         new JobMetrics(),
-                        new ShardLimits(LEASE_MILLIS, 120_000));
+                        new ShardLimits(LEASE_MILLIS, 120_000, StoreWatch.Timing.ofSilence(3_000)));
         Shard shard =
                 new Shard(
                         context,
--- a/daemon/src/test/java/org/endivetray/daemon/job/virtual/VirtualStore.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/virtual/VirtualStore.java
@@ -3,8 +3,10 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.endivetray.EndivetrayException;
 import org.endivetray.ResultCode;
@@ -24,6 +26,7 @@
     private final TreeMap<String, VersionedValue> mItems = new TreeMap<>();
     private final List<VersionedValue> mEvents = new ArrayList<>();
     private final List<Watcher> mWatchers = new ArrayList<>();
+    private final Set<Promise<Range>> mSilent = new HashSet<>();
     private long mRevision = 1;
     private long mNextLease = 100;
 
@@ -43,6 +46,20 @@
 
     public Mode mMode = Mode.UP;
 
+    /**
+     * Silences the watch calls that are waiting: they get no reply, and fail once their time limit
+     * has passed. Later calls are not affected.
+     */
+    public void silenceWatches() {
+        mWatchers.forEach(
+                watcher ->
+                        mExecutor.schedule(
+                                Math.max(0, watcher.limitMillis() - mExecutor.millis()),
+                                () -> watcher.promise().tryFail("no reply")));
+        mWatchers.forEach(watcher -> mSilent.add(watcher.promise()));
+        mWatchers.clear();
+    }
+
     public VirtualStore(VirtualExecutor executor) {
         mExecutor = executor;
     }
@@ -135,9 +152,17 @@
             return answer(() -> eventsAfter(prefix, afterRevision));
         }
         Promise<Range> promise = Promise.promise();
-        mWatchers.add(new Watcher(prefix, afterRevision, promise));
+        long limit = mExecutor.millis() + waitMillis + WATCH_GRACE_MILLIS;
+        Watcher watcher = new Watcher(prefix, afterRevision, promise, limit);
+        mWatchers.add(watcher);
         mExecutor.schedule(
-                waitMillis, () -> promise.tryComplete(eventsAfter(prefix, afterRevision)));
+                waitMillis,
+                () -> {
+                    mWatchers.remove(watcher);
+                    if (!mSilent.contains(promise)) {
+                        promise.tryComplete(eventsAfter(prefix, afterRevision));
+                    }
+                });
         return promise.future();
     }
 
@@ -212,5 +237,5 @@
     }
 
     /** A watch call that waits for a change. */
-    private record Watcher(String prefix, long after, Promise<Range> promise) {}
+    private record Watcher(String prefix, long after, Promise<Range> promise, long limitMillis) {}
 }
