Let an owner start only what each later owner knows of

Cause: a former owner that did not know of its successor yet accepted jobs from the inbox and started them on minions that the successor had not reached; the successor read the same entries after its load and took them for jobs that nobody had started. After a pause an owner acted before it had asked the store whether its lease still existed.

Change: a job in the inbox is accepted once a read of the owner key, made after the entry was read, shows that this daemon still owns the shard. The entry is then older than any later claim, and each later owner waits for the minions that may run the job. After a pause nothing is started and no lease is extended until the daemon's own lease is renewed, at once.

Evidence: TakeoverProperties with owners that reach different minions (150 courses) failed before with a start after an acknowledged end; the shortest course, OwnerChangesTest.aJobThatIsStoredInTheInbox..., had four starts in place of two. Two more new tests failed before. Not reproduced with real processes; that this is what the users saw is inferred.

--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -201,6 +201,7 @@
                 placement,
                 mExecutor,
                 new MemoryUse(),
+                () -> ownership().mayAct(),
                 metrics,
                 new ShardLimits(
                         mSettings.maxLeaseMillis(), mSettings.retentionMillis(), mWatchTiming));
--- a/daemon/src/main/java/org/endivetray/daemon/job/ownership/DaemonLease.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ownership/DaemonLease.java
@@ -31,6 +31,12 @@
      */
     private static final long MARGIN_MILLIS = 600;
 
+    /**
+     * Time after which a failed renewal no longer shows that the store is away; covers the longest
+     * time between the failures of two renewals while it is.
+     */
+    private static final long FAILURE_VALID_MILLIS = 2_000;
+
     /** Time between renewals, about a quarter of the lease. */
     private static final long RENEW_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
@@ -45,6 +51,9 @@
     private long mRegisteredNanos;
     private long mRenewedNanos;
     private long mRenewedMillis;
+    private boolean mHasFailed;
+    private long mFailedNanos;
+    private long mFailedMillis;
 
     /**
      * Constructs a lease that has not been created in the store.
@@ -108,12 +117,32 @@
     }
 
     /**
-     * Creates, registers or renews the lease, when due.
+     * Returns whether this daemon may go on with what it owns: its lease has certainly not expired,
+     * or the store has just failed to renew it, so that other daemons are unlikely to reach the
+     * store either. After a pause neither holds until the store has been asked again.
+     */
+    boolean mayAct() {
+        return isValid() || hasFailedRecently();
+    }
+
+    private boolean hasFailedRecently() {
+        long monotonic = TimeUnit.NANOSECONDS.toMillis(mExecutor.nanoTime() - mFailedNanos);
+        long wallClock = mExecutor.currentTimeMillis() - mFailedMillis;
+        return mHasFailed
+                && monotonic < FAILURE_VALID_MILLIS
+                && wallClock < FAILURE_VALID_MILLIS
+                && wallClock >= monotonic - MARGIN_MILLIS;
+    }
+
+    /**
+     * Creates, registers or renews the lease, when due. It is renewed at once when it is no longer
+     * certainly valid, as after a pause.
      *
      * @param nowNanos time of the monotonic clock, in nanoseconds
      */
     void tick(long nowNanos) {
-        if (mIsCalling || nowNanos - mNextCallNanos < 0) {
+        boolean isUncertain = mIsRegistered && !mayAct();
+        if (mIsCalling || !isUncertain && nowNanos - mNextCallNanos < 0) {
             return;
         }
         if (mId == SharedStore.NO_LEASE) {
@@ -190,6 +219,9 @@
 
     private void scheduleRetry(String what, String reason) {
         LOGGER.log(Level.INFO, "shard: {0} failed reason={1}", what, reason);
+        mHasFailed = true;
+        mFailedNanos = mExecutor.nanoTime();
+        mFailedMillis = mExecutor.currentTimeMillis();
         mNextCallNanos = mExecutor.nanoTime() + RENEW_INTERVAL_NANOS / 2;
     }
 
--- a/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipManager.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipManager.java
@@ -129,6 +129,14 @@
         return mLease.isValid();
     }
 
+    /**
+     * Returns whether this daemon may go on with the shards that it owns; not so after a pause,
+     * until the store has been asked whether its lease still exists.
+     */
+    public boolean mayAct() {
+        return mLease.mayAct();
+    }
+
     /** Returns the shards that this daemon owns. */
     public Set<String> ownedShards() {
         return Set.copyOf(mTokens.keySet());
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionMonitor.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionMonitor.java
@@ -183,17 +183,16 @@
         boolean isFirst = !session.mIsResponding || !session.hasClock();
         boolean hasUnstored = session.mLastProcessedEnd > session.mLastStoredEnd;
         int wait = session.tasks().isEmpty() ? WAIT_IDLE_MILLIS : WAIT_BUSY_MILLIS;
-        int waitMillis = isFirst || hasUnstored ? 0 : wait;
+        boolean mayExtend = mContext.mayAct().getAsBoolean();
+        int waitMillis = isFirst || hasUnstored || !mayExtend ? 0 : wait;
+        long leaseMillis = mayExtend ? mContext.limits().maxLeaseMillis() : 0;
         mContext.executor()
                 .onComplete(
                         mContext.minions()
                                 .renewRunLeases(
                                         session.info(),
                                         session.leaseOrder(
-                                                mContext.limits().maxLeaseMillis(),
-                                                waitMillis,
-                                                mState.mToken,
-                                                nowNanos)),
+                                                leaseMillis, waitMillis, mState.mToken, nowNanos)),
                         (listing, cause) -> onListing(session, listing, nowNanos));
     }
 
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
@@ -252,16 +252,21 @@
 
     /**
      * Returns an order to renew the lease and to list runs. It extends the lease if the minion is
-     * responding.
+     * responding and the owner may act.
      *
      * <p>The lease of a minion that does not respond is left to expire. An order without an answer
      * may have been carried out, so repeated extensions would keep the minion's tasks from ever
      * being started elsewhere. An order that does not follow a recent answer acknowledges no ends,
      * since it may reach a new incarnation, which numbers its ends from 1 again.
+     *
+     * @param leaseMillis length of the lease, in milliseconds, 0 if it must not be extended
+     * @param waitMillis time for which the minion may wait before it answers, in milliseconds
+     * @param token the fencing token
+     * @param nowNanos time of the monotonic clock, in nanoseconds
      */
     MinionOrders.LeaseOrder leaseOrder(
             long leaseMillis, int waitMillis, long token, long nowNanos) {
-        long leaseEnd = mIsResponding ? extendLease(leaseMillis, nowNanos) : 0;
+        long leaseEnd = mIsResponding && leaseMillis > 0 ? extendLease(leaseMillis, nowNanos) : 0;
         boolean isRecent = mIsResponding && nowNanos - mClockNanos < SAME_INCARNATION_NANOS;
         long lastSeen = isRecent ? mLastStoredEnd : 0;
         return new MinionOrders.LeaseOrder(leaseEnd, lastSeen, waitMillis, token);
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -118,7 +118,10 @@
         mRequestHandler =
                 new JobRequestHandler(
                         context.executor(), mState, mWriter, mLifecycle, context.memory());
-        mInboxWatcher = new InboxWatcher(context, mState, mRequestHandler, this::isLost);
+        Runnable onOwnerChanged = () -> markLost("owner changed in the store");
+        mInboxWatcher =
+                new InboxWatcher(
+                        context, mState, mRequestHandler, owner, onOwnerChanged, this::isLost);
         mDrainer = new MinionDrainer(context.executor(), mState, mLifecycle);
         mStallDetector = new StallDetector(mState, mLifecycle, durations);
     }
@@ -215,7 +218,8 @@
         if (isDue) {
             mLoader.loadDue(mContext.executor().currentTimeMillis());
         }
-        if (mPhase == Phase.ACTIVE && isDue && !mIsHandingOver) {
+        boolean mayStart = !mIsHandingOver && mContext.mayAct().getAsBoolean();
+        if (mPhase == Phase.ACTIVE && isDue && mayStart) {
             mState.mNeedsDispatch = false;
             mDispatchedNanos = nowNanos;
             mDispatcher.run(nowNanos);
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardContext.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardContext.java
@@ -1,5 +1,6 @@
 package org.endivetray.daemon.job.shard;
 
+import java.util.function.BooleanSupplier;
 import org.endivetray.daemon.job.SchedulerExecutor;
 import org.endivetray.daemon.observe.JobMetrics;
 import org.endivetray.platform.MinionOrders;
@@ -17,6 +18,7 @@
  * @param advisor the placement advisor, null if there is none
  * @param executor runs results on the scheduler's thread and provides its clocks, not null
  * @param memory what the jobs of all shards take, not null
+ * @param mayAct whether the daemon may start runs and extend their leases, not null
  * @param metrics counters and histograms, not null
  * @param limits time limits of the platform, not null
  */
@@ -26,5 +28,6 @@
         PlacementAdvisor advisor,
         SchedulerExecutor executor,
         MemoryUse memory,
+        BooleanSupplier mayAct,
         JobMetrics metrics,
         ShardLimits limits) {}
--- a/daemon/src/test/java/org/endivetray/daemon/job/ownership/OwnershipManagerTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/ownership/OwnershipManagerTest.java
@@ -1,6 +1,7 @@
 package org.endivetray.daemon.job.ownership;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Map;
@@ -25,6 +26,7 @@
         private final Map<String, Long> mTokens = new TreeMap<>();
         private final OwnershipManager mOwnership;
         private boolean mIsCrashed;
+        private boolean mIsPaused;
 
         private SimulatedDaemon(String name, long incarnation) {
             OwnershipWatch watch =
@@ -46,7 +48,9 @@
 
         private void tick() {
             if (!mIsCrashed) {
-                mOwnership.tick(mExecutor.nanoTime());
+                if (!mIsPaused) {
+                    mOwnership.tick(mExecutor.nanoTime());
+                }
                 mExecutor.schedule(TICK_MILLIS, this::tick);
             }
         }
@@ -107,4 +111,34 @@
         assertEquals(Set.of(LAST_RELEASED), first.mTokens.keySet());
         assertEquals(Set.of("ice"), other.mTokens.keySet());
     }
+
+    /** Guards against a daemon that goes on with shards which another one has claimed meanwhile. */
+    @Test
+    void aDaemonThatWasPausedMayActOnlyAfterTheStoreHasRenewedItsLease() {
+        SimulatedDaemon daemon = new SimulatedDaemon("a", 1);
+        mExecutor.advance(2 * SETTLE_MILLIS);
+        assertTrue(daemon.mOwnership.mayAct());
+        daemon.mIsPaused = true;
+        mExecutor.advance(4_000);
+        daemon.mIsPaused = false;
+        assertFalse(daemon.mOwnership.mayAct());
+        mExecutor.advance(5 * TICK_MILLIS);
+        assertTrue(daemon.mOwnership.mayAct());
+    }
+
+    @Test
+    void aDaemonMayActAllThroughAnOutageOfTheStore() {
+        SimulatedDaemon daemon = new SimulatedDaemon("a", 1);
+        mExecutor.advance(2 * SETTLE_MILLIS);
+        mStore.mMode = VirtualStore.Mode.UNRESPONSIVE;
+        for (long millis = 0; millis < 15_000; millis += TICK_MILLIS) {
+            mExecutor.advance(TICK_MILLIS);
+            assertTrue(daemon.mOwnership.mayAct(), "after " + millis + " ms");
+        }
+        mStore.mMode = VirtualStore.Mode.UP;
+        for (long millis = 0; millis < 5_000; millis += TICK_MILLIS) {
+            mExecutor.advance(TICK_MILLIS);
+            assertTrue(daemon.mOwnership.mayAct(), "after its return, " + millis + " ms");
+        }
+    }
 }
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/OwnerChangesTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/OwnerChangesTest.java
@@ -124,4 +124,45 @@
         assertThat(mHarness.mMinions.mStarts).hasSize(4);
         assertThat(mHarness.mMinions.mStarts).allMatch(start -> start.minion().equals("m2"));
     }
+
+    /**
+     * Guards against a job that two owners read from the inbox and start, the earlier one because
+     * it does not know yet that it has a successor, which reaches its minions late.
+     */
+    @Test
+    void aJobThatIsStoredInTheInboxAfterAChangeOfTheOwnerIsNotStartedByTheFormerOwner() {
+        letTasksRunFor(3_000);
+        Shard first = mHarness.startWith("m1", "m2");
+        Shard second = mHarness.takeOver();
+        mHarness.mMinions.all().forEach(minion -> minion.mUnreachableToken = second.token());
+        mHarness.run(200, first, second);
+        mHarness.storeInInbox(1, ShardHarness.step(2));
+        mHarness.run(300, first, second);
+        assertThat(mHarness.mMinions.mStarts).isEmpty();
+        mHarness.mMinions.minion("m2").mUnreachableToken = 0;
+        mHarness.run(2_000, first, second);
+        mHarness.mMinions.minion("m1").mUnreachableToken = 0;
+        mHarness.run(10_000, first, second);
+        assertThat(first.isLost()).isTrue();
+        assertThat(mHarness.mMinions.mStarts).hasSize(2);
+        assertThat(mHarness.mMinions.mStarts).allMatch(start -> start.token() == second.token());
+    }
+
+    /** Guards against an owner that acts after a pause in which its lease may have expired. */
+    @Test
+    void anOwnerThatMayNotActStartsNothingAndExtendsNoLease() {
+        letTasksRunFor(60_000);
+        Shard shard = mHarness.startWith("m1");
+        mHarness.submit(shard, 1, ShardHarness.step(1));
+        mHarness.run(500, shard);
+        assertThat(mHarness.mMinions.minion("m1").mRuns).hasSize(1);
+        mHarness.mMayAct = false;
+        mHarness.submit(shard, 2, ShardHarness.step(1));
+        mHarness.run(8_000, shard);
+        assertThat(mHarness.mMinions.minion("m1").mRuns).isEmpty();
+        assertThat(mHarness.mMinions.mStarts).hasSize(1);
+        mHarness.mMayAct = true;
+        mHarness.run(1_000, shard);
+        assertThat(mHarness.mMinions.minion("m1").mRuns).hasSize(2);
+    }
 }
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.endivetray.daemon.job.record.JobKeys;
+import org.endivetray.daemon.job.record.StoredJob;
 import org.endivetray.daemon.job.virtual.VirtualExecutor;
 import org.endivetray.daemon.job.virtual.VirtualStore;
 import org.endivetray.daemon.job.watch.StoreWatch;
@@ -13,6 +14,7 @@
 import org.endivetray.job.MinionInfo;
 import org.endivetray.job.QueueConfig;
 import org.endivetray.job.StepSpec;
+import org.endivetray.platform.RecordCodec;
 import org.endivetray.platform.SharedStore.Condition;
 import org.endivetray.policy.job.DurationModel;
 
@@ -32,6 +34,7 @@
     final VirtualStore mStore = new VirtualStore(mExecutor);
     final VirtualMinions mMinions = new VirtualMinions(mExecutor);
     final List<MinionInfo> mRegistered = new ArrayList<>();
+    boolean mMayAct = true;
     final List<Shard> mShards = new ArrayList<>();
 
     /** Adds a minion to the pool and registers it. */
@@ -59,6 +62,7 @@
                         null,
                         mExecutor,
                         new MemoryUse(),
+                        () -> mMayAct,
                         new JobMetrics(),
                         new ShardLimits(LEASE_MILLIS, 120_000, StoreWatch.Timing.ofSilence(3_000)));
         Shard shard =
@@ -125,4 +129,11 @@
     Future<JobAnswer> submit(Shard shard, int number, StepSpec... steps) {
         return shard.submit(QUEUE, id(number), job(steps));
     }
+
+    /** Stores a job in the inbox, as a daemon does that cannot reach the owner. */
+    void storeInInbox(int number, StepSpec... steps) {
+        mStore.put(
+                JobKeys.inboxJobs(POOL) + id(number),
+                RecordCodec.encode(new StoredJob(POOL, QUEUE, job(steps), 0)));
+    }
 }
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
@@ -30,18 +30,6 @@
         return shard.state(ShardHarness.id(number)).result().state();
     }
 
-    /** Stores a job in the inbox, as a daemon does that cannot reach the owner. */
-    private void storeInInbox(int number, StepSpec... steps) {
-        mHarness.mStore.put(
-                JobKeys.inboxJobs(ShardHarness.POOL) + ShardHarness.id(number),
-                RecordCodec.encode(
-                        new StoredJob(
-                                ShardHarness.POOL,
-                                ShardHarness.QUEUE,
-                                ShardHarness.job(steps),
-                                0)));
-    }
-
     /** Stores a job in the inbox whose only step comes after another one. */
     private void storeJobAfterStep(int number) {
         StoredJob job =
@@ -202,7 +190,7 @@
     @Test
     void aJobThatAnotherDaemonStoredInTheInboxIsRun() {
         Shard shard = mHarness.startWith("m1");
-        storeInInbox(1, ShardHarness.step(2));
+        mHarness.storeInInbox(1, ShardHarness.step(2));
         mHarness.run(2_000, shard);
         assertThat(stateOf(shard, 1)).isEqualTo(JobState.COMPLETED);
     }
@@ -280,7 +268,7 @@
         mHarness.mMinions.minion("m3").mIsUnreachable = true;
         first.onMinionTerminated("m2", 1);
         mHarness.run(12_000, first);
-        storeInInbox(1, ShardHarness.step(1));
+        mHarness.storeInInbox(1, ShardHarness.step(1));
         Shard second = mHarness.takeOver();
         mHarness.run(200, second);
         assertThat(mHarness.mMinions.mStarts).hasSize(1);
@@ -374,10 +362,10 @@
     void aStoredJobWhoseStepsCannotBeOrderedDoesNotKeepOtherJobsFromRunning() {
         Shard first = mHarness.startWith("m1");
         storeJobAfterStep(7);
-        storeInInbox(2, ShardHarness.step(1));
+        mHarness.storeInInbox(2, ShardHarness.step(1));
         mHarness.run(2_000, first);
         assertThat(stateOf(first, 2)).isEqualTo(JobState.COMPLETED);
-        storeInInbox(3, ShardHarness.step(1));
+        mHarness.storeInInbox(3, ShardHarness.step(1));
         Shard second = mHarness.takeOver();
         mHarness.run(2_000, second);
         assertThat(stateOf(second, 3)).isEqualTo(JobState.COMPLETED);
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/TakeoverProperties.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/TakeoverProperties.java
@@ -5,9 +5,11 @@
 import io.vertx.core.Future;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
@@ -28,6 +30,9 @@
 class TakeoverProperties {
     private static final int JOBS = 8;
     private static final int ATTEMPTS = ShardHarness.QUEUE.attempts();
+    private static final int KINDS = 10;
+    private static final int KINDS_IF_PARTITIONED = 13;
+    private static final int MAX_CUT_MILLIS = 3_000;
     private static final String[] MINIONS = {"m1", "m2", "m3"};
 
     /**
@@ -47,8 +52,14 @@
         private final List<String> mTrace = new ArrayList<>();
         private Shard mCurrent;
 
-        private Scenario(long seed) {
+        /** Whether owners may reach different minions, and jobs may be stored in the inbox. */
+        private final boolean mIsPartitioned;
+
+        private final Set<Integer> mInboxJobs = new HashSet<>();
+
+        private Scenario(long seed, boolean isPartitioned) {
             mRandom = new Random(seed);
+            mIsPartitioned = isPartitioned;
         }
 
         private void execute() {
@@ -95,7 +106,7 @@
         }
 
         private void event(int number) {
-            int kind = mRandom.nextInt(10);
+            int kind = mRandom.nextInt(mIsPartitioned ? KINDS_IF_PARTITIONED : KINDS);
             mTrace.add(line(mHarness.mExecutor.millis(), "event " + kind));
             switch (kind) {
                 case 0, 1, 2 -> submit(number % JOBS + 1);
@@ -108,10 +119,33 @@
                                 VirtualStore.Mode.values()[
                                         mRandom.nextInt(VirtualStore.Mode.values().length)];
                 case 8 -> mHarness.mStore.mMode = VirtualStore.Mode.UP;
-                default -> cancel(mRandom.nextInt(JOBS) + 1);
+                case 9 -> cancel(mRandom.nextInt(JOBS) + 1);
+                case 10 -> cutFromCurrentOwner(minion());
+                case 11 -> storeInInbox(JOBS + number + 1);
+                default -> takeOverWithoutMinions(JOBS + number + 1);
             }
         }
 
+        /** Cuts a minion from the current owner for a time that is shorter than a lease. */
+        private void cutFromCurrentOwner(VirtualMinions.Minion minion) {
+            minion.mUnreachableToken = mCurrent.token();
+            mHarness.mExecutor.schedule(
+                    1 + mRandom.nextInt(MAX_CUT_MILLIS), () -> minion.mUnreachableToken = 0);
+        }
+
+        private void storeInInbox(int job) {
+            mInboxJobs.add(job);
+            mHarness.storeInInbox(job, ShardHarness.step(3), ShardHarness.step(2, 0));
+        }
+
+        /** Starts a new owner that reaches its minions late, and stores a job in the inbox. */
+        private void takeOverWithoutMinions(int job) {
+            mCurrent = mHarness.takeOver();
+            mHarness.mMinions.all().forEach(this::cutFromCurrentOwner);
+            run(20 + mRandom.nextInt(200));
+            storeInInbox(job);
+        }
+
         private VirtualMinions.Minion minion() {
             String id = MINIONS[mRandom.nextInt(MINIONS.length)];
             mTrace.add(line(mHarness.mExecutor.millis(), "minion " + id));
@@ -144,6 +178,7 @@
             for (VirtualMinions.Minion minion : mHarness.mMinions.all()) {
                 minion.mIsUnreachable = false;
                 minion.mOrderDelayMillis = 0;
+                minion.mUnreachableToken = 0;
             }
             run(4_000);
             mCurrent = mHarness.takeOver();
@@ -184,8 +219,29 @@
 
     @Property(tries = 150, seed = "20261204", shrinking = ShrinkingMode.OFF)
     void invariantsHoldUnderRandomFailures(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
-        Scenario scenario = new Scenario(seed);
+        Scenario scenario = new Scenario(seed, false);
         scenario.execute();
+        assertInvariants(scenario);
+    }
+
+    /**
+     * Guards against runs that a former and a new owner start at the same time, while the new one
+     * does not reach all minions yet.
+     */
+    @Property(tries = 150, seed = "20261205", shrinking = ShrinkingMode.OFF)
+    void invariantsHoldWhileOwnersReachDifferentMinions(
+            @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+        Scenario scenario = new Scenario(seed, true);
+        scenario.execute();
+        assertInvariants(scenario);
+        for (int job : scenario.mInboxJobs) {
+            assertThat(scenario.mCurrent.state(ShardHarness.id(job)).result().state())
+                    .as("%s", scenario.trace(ShardHarness.id(job)))
+                    .matches(JobState::isFinal);
+        }
+    }
+
+    private static void assertInvariants(Scenario scenario) {
         assertThat(scenario.mConcurrentRuns).as("tasks with two runs at the same time").isEmpty();
         assertNoStartAfterDone(scenario);
         assertStepOrder(scenario);
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualMinions.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualMinions.java
@@ -87,10 +87,10 @@
     }
 
     private <T> Future<T> deliver(
-            MinionInfo info, java.util.function.Function<Minion, T> order, T unknown) {
+            MinionInfo info, long token, java.util.function.Function<Minion, T> order, T unknown) {
         Promise<T> promise = Promise.promise();
         Minion minion = mMinions.get(info.id());
-        if (minion.mIsUnreachable) {
+        if (minion.isUnreachableFor(token)) {
             mExecutor.schedule(TIMEOUT_MILLIS, () -> promise.complete(unknown));
         } else if (minion.mOrderDelayMillis > 0) {
             mExecutor.schedule(minion.mOrderDelayMillis, () -> order.apply(minion));
@@ -110,6 +110,7 @@
     public Future<OrderReply> start(MinionInfo info, StartOrder order) {
         return deliver(
                 info,
+                order.token(),
                 minion -> new OrderReply(minion.start(order), mExecutor.millis()),
                 new OrderReply(OrderOutcome.UNKNOWN, 0));
     }
@@ -118,6 +119,7 @@
     public Future<OrderReply> stop(MinionInfo info, String task, int run, long token) {
         return deliver(
                 info,
+                token,
                 minion -> new OrderReply(minion.stop(task, run, token), mExecutor.millis()),
                 new OrderReply(OrderOutcome.UNKNOWN, 0));
     }
@@ -127,6 +129,7 @@
             MinionInfo info, String task, int run, int percent, long token) {
         return deliver(
                 info,
+                token,
                 minion -> new OrderReply(OrderOutcome.DONE, mExecutor.millis()),
                 new OrderReply(OrderOutcome.UNKNOWN, 0));
     }
@@ -135,7 +138,7 @@
     public Future<RunListing> renewRunLeases(MinionInfo info, LeaseOrder order) {
         Promise<RunListing> promise = Promise.promise();
         Minion minion = mMinions.get(info.id());
-        if (minion.mIsUnreachable || minion.mOrderDelayMillis > 0) {
+        if (minion.isUnreachableFor(order.token()) || minion.mOrderDelayMillis > 0) {
             mExecutor.schedule(
                     TIMEOUT_MILLIS,
                     () -> promise.complete(RunListing.failed(OrderOutcome.UNKNOWN)));
@@ -165,6 +168,9 @@
         private long mIncarnation = 1;
         boolean mIsUnreachable;
 
+        /** Token of an owner that cannot reach the minion, 0 if there is none. */
+        long mUnreachableToken;
+
         /**
          * Time after which orders are carried out, in milliseconds; unless it is 0, no order is
          * answered.
@@ -175,6 +181,10 @@
             mInfo = info;
         }
 
+        private boolean isUnreachableFor(long token) {
+            return mIsUnreachable || token == mUnreachableToken;
+        }
+
         /** Ends the minion and starts a new incarnation under the same id after a delay. */
         void restart() {
             mIsUnreachable = true;
