Refuse no job for lack of memory that an earlier attempt may have stored

Callers could see a job refused, which says that it never runs, although an earlier attempt with an unknown outcome was still being stored and would run. Found by reading the new memory limit; the limit on active jobs had the same gap.

Change: both limits pass over a job whose earlier attempt is pending.

Evidence: ScheduledJobsTest, aJobWhoseEarlierAttempt...; another new test shows that all counts return to zero once jobs are removed or the shard is lost.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
@@ -78,7 +78,9 @@
             waiting.add(answer);
             return;
         }
-        if (mState.mActiveJobs.size() >= MAX_ACTIVE_JOBS) {
+        // An earlier attempt whose outcome is unknown may still be stored.
+        boolean mayExist = mPendingBytes.containsKey(id);
+        if (!mayExist && mState.mActiveJobs.size() >= MAX_ACTIVE_JOBS) {
             answer.complete(
                     JobAnswer.refused(
                             RETRY_AFTER_OVERLOAD_MILLIS, "the shard has too many active jobs"));
@@ -92,7 +94,7 @@
                         spec.tasksPerOccurrence(),
                         record.length,
                         mMemory.current());
-        if (!hasRoom) {
+        if (!mayExist && !hasRoom) {
             answer.complete(
                     JobAnswer.refused(
                             RETRY_AFTER_OVERLOAD_MILLIS, "the daemon's memory limit is reached"));
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ScheduledJobsTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ScheduledJobsTest.java
@@ -7,11 +7,13 @@
 import java.util.List;
 import java.util.Set;
 import org.endivetray.daemon.job.record.JobKeys;
+import org.endivetray.daemon.job.virtual.VirtualStore;
 import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobAnswer.Verdict;
 import org.endivetray.job.JobSpec;
 import org.endivetray.job.JobState;
 import org.endivetray.job.StepSpec;
+import org.endivetray.policy.job.MemoryLimit;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -158,4 +160,46 @@
         }
         assertThat(usedHeapBytes() - before).isLessThan(HEAP_BYTES / 10);
     }
+
+    /** Guards against a refusal of a job that is stored by an earlier attempt later on. */
+    @Test
+    void aJobWhoseEarlierAttemptMayHaveBeenStoredIsNotRefusedForLackOfMemory() {
+        Shard shard = mHarness.startWith("m1");
+        mHarness.mStore.mMode = VirtualStore.Mode.ANSWERS_LOST;
+        Future<JobAnswer> first = mHarness.submit(shard, 1, ShardHarness.step(1));
+        mHarness.run(1_000, shard);
+        assertThat(first.result().verdict()).isEqualTo(Verdict.UNKNOWN);
+        mHarness.mMemory.addRecordBytes(MemoryLimit.MAX_RECORD_BYTES);
+        Future<JobAnswer> again = mHarness.submit(shard, 1, ShardHarness.step(1));
+        Future<JobAnswer> other = mHarness.submit(shard, 2, ShardHarness.step(1));
+        mHarness.mStore.mMode = VirtualStore.Mode.UP;
+        mHarness.run(2_000, shard);
+        assertThat(again.result().verdict()).isEqualTo(Verdict.OK);
+        assertThat(other.result().verdict()).isEqualTo(Verdict.REFUSED);
+        assertThat(stateOf(shard, 1)).isEqualTo(JobState.COMPLETED);
+    }
+
+    /** Guards against a count that rises with each job and refuses all jobs in the end. */
+    @Test
+    void nothingIsCountedAsHeldOnceAllJobsAreRemovedOrTheShardIsLost() {
+        Shard shard = mHarness.startWith("m1", "m2");
+        for (int number = 1; number <= 20; number++) {
+            mHarness.submit(shard, number, ShardHarness.step(2), ShardHarness.step(1, 0));
+            submit(shard, 100 + number, 3, 0, 300);
+        }
+        mHarness.run(300, shard);
+        shard.cancel(ShardHarness.id(7));
+        mHarness.run(30_000, shard);
+        assertThat(mHarness.mMemory.current().unscheduledTasks()).isZero();
+        assertThat(mHarness.mMemory.current().scheduledTasks()).isZero();
+        assertThat(mHarness.mMemory.current().recordBytes()).isPositive();
+        mHarness.run(200_000, shard);
+        assertThat(mHarness.mMemory.current().recordBytes()).isZero();
+        mHarness.submit(shard, 50, ShardHarness.step(8));
+        mHarness.run(100, shard);
+        assertThat(mHarness.mMemory.current().unscheduledTasks()).isPositive();
+        shard.markLost("the test has ended it");
+        mHarness.run(5_000, shard);
+        assertThat(mHarness.mMemory.current()).isEqualTo(new MemoryLimit.Use(0, 0, 0));
+    }
 }
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
@@ -34,6 +34,7 @@
     final VirtualStore mStore = new VirtualStore(mExecutor);
     final VirtualMinions mMinions = new VirtualMinions(mExecutor);
     final List<MinionInfo> mRegistered = new ArrayList<>();
+    final MemoryUse mMemory = new MemoryUse();
     boolean mMayAct = true;
     final List<Shard> mShards = new ArrayList<>();
 
@@ -61,7 +62,7 @@
                         mMinions,
                         null,
                         mExecutor,
-                        new MemoryUse(),
+                        mMemory,
                         () -> mMayAct,
                         new JobMetrics(),
                         new ShardLimits(LEASE_MILLIS, 120_000, StoreWatch.Timing.ofSilence(3_000)));
