--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualMinions.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualMinions.java
@@ -167,6 +167,8 @@
         private long mNextEnd = 1;
         private long mIncarnation = 1;
         boolean mIsUnreachable;
+        private boolean mIsRestarting;
+        private int mRestarts;
 
         /** Token of an owner that cannot reach the minion, 0 if there is none. */
         long mUnreachableToken;
@@ -181,16 +183,28 @@
             mInfo = info;
         }
 
+        /** Returns whether nobody reaches the minion; one that restarts answers nobody. */
+        private boolean isSilent() {
+            return mIsUnreachable || mIsRestarting;
+        }
+
         private boolean isUnreachableFor(long token) {
-            return mIsUnreachable || token == mUnreachableToken;
+            return isSilent() || token == mUnreachableToken;
         }
 
         /** Ends the minion and starts a new incarnation under the same id after a delay. */
         void restart() {
-            mIsUnreachable = true;
+            mIsRestarting = true;
             mRuns.clear();
             mEnds.clear();
-            mExecutor.schedule(RESTART_MILLIS, this::startNewIncarnation);
+            int restart = ++mRestarts;
+            mExecutor.schedule(
+                    RESTART_MILLIS,
+                    () -> {
+                        if (restart == mRestarts) {
+                            startNewIncarnation();
+                        }
+                    });
         }
 
         private void startNewIncarnation() {
@@ -202,6 +216,7 @@
             mNextEnd = 1;
             mIncarnation++;
             mIsUnreachable = false;
+            mIsRestarting = false;
         }
 
         private OrderOutcome start(StartOrder order) {
@@ -278,7 +293,7 @@
         private void renewLease(
                 LeaseOrder order, long untilMillis, long incarnation, Promise<RunListing> promise) {
             // A connection ends with the incarnation that accepted it.
-            if (mIsUnreachable || incarnation != mIncarnation) {
+            if (isSilent() || incarnation != mIncarnation) {
                 mExecutor.schedule(
                         TIMEOUT_MILLIS,
                         () -> promise.complete(RunListing.failed(OrderOutcome.UNKNOWN)));
