Record the present session of a minion that has left and returned

Callers could see jobs wait although a minion was empty: a minion that left and came back under its id while the list of minions was being stored was never marked as recorded, since the former session was marked, and so got no task until the owner changed.

Change: the sessions of all minions in the stored list are marked.

Evidence: OwnerChangesTest.aMinionThatLeavesAndReturns... failed with the former marking.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -6,16 +6,12 @@
 import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.endivetray.daemon.job.record.JobKeys;
-import org.endivetray.daemon.job.record.StoredMinions;
 import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobSpec;
 import org.endivetray.job.MinionInfo;
 import org.endivetray.job.QueueConfig;
-import org.endivetray.platform.RecordCodec;
 import org.endivetray.platform.SharedStore.Condition;
 import org.endivetray.policy.job.DurationModel;
 import org.endivetray.policy.job.PoolLoad;
@@ -58,6 +54,7 @@
     private final ShardState mState;
     private final BatchWriter mWriter;
     private final TaskLifecycle mLifecycle;
+    private final MinionRecord mMinionRecord;
     private final MinionMonitor mMonitor;
     private final OccurrenceLoader mLoader;
     private final Dispatcher mDispatcher;
@@ -68,9 +65,6 @@
     private final Consumer<Shard> mOnLost;
     private Phase mPhase = Phase.LOADING;
     private List<MinionInfo> mRegistrations = List.of();
-    private long mMinionsVersion;
-    private Set<String> mRecordedMinions = Set.of();
-    private boolean mIsRecording;
     private long mLoadedNanos;
     private long mReloadAtNanos;
     private long mDispatchedNanos;
@@ -112,6 +106,7 @@
                         () -> markLost("owner changed in the store"));
         Runnable onFenced = () -> markLost("fenced: a minion has seen a later owner");
         mLifecycle = new TaskLifecycle(context, mState, mWriter, durations, onFenced);
+        mMinionRecord = new MinionRecord(mState, mWriter);
         mMonitor = new MinionMonitor(context, mState, mWriter, mLifecycle, onFenced);
         mDispatcher = new Dispatcher(context, mState, mLifecycle, durations);
         mLoader = new OccurrenceLoader(mState, context.memory());
@@ -209,7 +204,7 @@
             return;
         }
         mMonitor.tick(nowNanos);
-        recordMinions();
+        mMinionRecord.store();
         mDrainer.tick(nowNanos);
         mStallDetector.tick(nowNanos);
         adopt(nowNanos);
@@ -257,8 +252,7 @@
         long bound = Math.round(longest * (1 + CLOCK_DRIFT)) + LEASE_MARGIN_MILLIS;
         mState.mInheritedLeaseEndNanos = now + TimeUnit.MILLISECONDS.toNanos(bound);
         loaded.restoreTo(mState, now);
-        mMinionsVersion = loaded.minions().version();
-        mRecordedMinions = Set.copyOf(mState.mMinions.keySet());
+        mMinionRecord.onLoaded(loaded.minions().version());
         mPhase = Phase.ADOPTING;
         mLoadedNanos = now;
         mPurgedNanos = now;
@@ -305,34 +299,6 @@
         }
     }
 
-    /**
-     * Stores the list of minions that may hold runs. A minion is added before its first start, and
-     * removed once nothing can run on it, so that the next owner does not wait for it.
-     */
-    private void recordMinions() {
-        if (mIsRecording || mRecordedMinions.equals(mState.mMinions.keySet())) {
-            return;
-        }
-        List<MinionSession> sessions = List.copyOf(mState.mMinions.values());
-        StoredMinions record =
-                new StoredMinions(sessions.stream().map(MinionSession::info).toList());
-        Set<String> ids = Set.copyOf(mState.mMinions.keySet());
-        mIsRecording = true;
-        mWriter.add(
-                BatchWriter.Change.rewrite(
-                        JobKeys.minions(pool()),
-                        RecordCodec.encode(record),
-                        mMinionsVersion,
-                        version -> {
-                            mMinionsVersion = version;
-                            mIsRecording = false;
-                            mRecordedMinions = ids;
-                            sessions.forEach(session -> session.mIsRecorded = true);
-                            mState.mNeedsDispatch = true;
-                        }),
-                true);
-    }
-
     /**
      * Submits a job.
      *
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/OwnerChangesTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/OwnerChangesTest.java
@@ -4,6 +4,8 @@
 
 import java.util.List;
 import java.util.OptionalLong;
+import org.endivetray.daemon.job.virtual.VirtualStore;
+import org.endivetray.job.MinionInfo;
 import org.endivetray.job.TaskEnd;
 import org.junit.jupiter.api.Test;
 
@@ -165,4 +167,24 @@
         mHarness.run(1_000, shard);
         assertThat(mHarness.mMinions.minion("m1").mRuns).hasSize(2);
     }
+
+    /** Guards against a minion that gets no task any more after it has left and returned. */
+    @Test
+    void aMinionThatLeavesAndReturnsWhileItIsBeingRecordedGetsTasks() {
+        Shard shard = mHarness.startWith("m1");
+        mHarness.mStore.mMode = VirtualStore.Mode.UNRESPONSIVE;
+        mHarness.addMinion("m2");
+        mHarness.run(1_000, shard);
+        MinionInfo returning = mHarness.mRegistered.remove(1);
+        mHarness.mMinions.minion("m2").mIsUnreachable = true;
+        mHarness.run(12_000, shard);
+        mHarness.mMinions.minion("m2").mIsUnreachable = false;
+        mHarness.mRegistered.add(returning);
+        mHarness.run(1_000, shard);
+        mHarness.mStore.mMode = VirtualStore.Mode.UP;
+        mHarness.run(3_000, shard);
+        mHarness.submit(shard, 1, ShardHarness.step(12));
+        mHarness.run(400, shard);
+        assertThat(mHarness.mMinions.mStarts).hasSize(12);
+    }
 }
