Ask minions a few times a second while their leases can't be extended

An owner that must not extend leases until its own is renewed asked its minions without letting them wait: 100 listings a second and minion on the virtual clock, while it stops or after a pause, for as long as the store doesn't answer.

Change: a minion may wait 200 ms then, so that its lease is still extended soon after the owner may act again.

Evidence: OwnerChangesTest.anOwnerThatMayNotActAsks... saw 100 before.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionMonitor.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionMonitor.java
@@ -37,6 +37,12 @@
      */
     private static final int WAIT_IDLE_MILLIS = 2_000;
 
+    /**
+     * Time for which a minion may wait whose lease could not be extended, so that it is extended
+     * soon after the owner may act again.
+     */
+    private static final int WAIT_UNEXTENDED_MILLIS = 200;
+
     /** Delay before the next request to a minion that has not answered. */
     private static final long NO_RESPONSE_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
@@ -184,7 +190,8 @@
         boolean hasUnstored = session.mLastProcessedEnd > session.mLastStoredEnd;
         int wait = session.tasks().isEmpty() ? WAIT_IDLE_MILLIS : WAIT_BUSY_MILLIS;
         boolean mayExtend = mContext.mayAct().getAsBoolean();
-        int waitMillis = isFirst || hasUnstored || !mayExtend ? 0 : wait;
+        int longestWait = mayExtend ? wait : WAIT_UNEXTENDED_MILLIS;
+        int waitMillis = isFirst || hasUnstored ? 0 : longestWait;
         long leaseMillis = mayExtend ? mContext.limits().maxLeaseMillis() : 0;
         mContext.executor()
                 .onComplete(
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/OwnerChangesTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/OwnerChangesTest.java
@@ -187,4 +187,18 @@
         mHarness.run(400, shard);
         assertThat(mHarness.mMinions.mStarts).hasSize(12);
     }
+
+    /** Guards against an owner that asks its minions without a pause while it may not act. */
+    @Test
+    void anOwnerThatMayNotActAsksItsMinionsAFewTimesASecond() {
+        letTasksRunFor(60_000);
+        Shard shard = mHarness.startWith("m1");
+        mHarness.submit(shard, 1, ShardHarness.step(1));
+        mHarness.run(1_500, shard);
+        mHarness.mMayAct = false;
+        mHarness.run(1_000, shard);
+        int before = mHarness.mMinions.mListings;
+        mHarness.run(1_000, shard);
+        assertThat(mHarness.mMinions.mListings - before).isBetween(2, 6);
+    }
 }
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualMinions.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualMinions.java
@@ -27,6 +27,7 @@
     private final VirtualExecutor mExecutor;
     private final Map<String, Minion> mMinions = new TreeMap<>();
     final List<Start> mStarts = new ArrayList<>();
+    int mListings;
     final List<End> mAllEnds = new ArrayList<>();
 
     /** Determines how long a run takes and how it ends. */
@@ -137,6 +138,7 @@
     @Override
     public Future<RunListing> renewRunLeases(MinionInfo info, LeaseOrder order) {
         Promise<RunListing> promise = Promise.promise();
+        mListings++;
         Minion minion = mMinions.get(info.id());
         if (minion.isUnreachableFor(order.token()) || minion.mOrderDelayMillis > 0) {
             mExecutor.schedule(
