--- a/review/rig2/LostRegistration.java
+++ b/review/rig2/LostRegistration.java
@@ -12,7 +12,7 @@
  */
 final class LostRegistration implements Store.LateCalls, Minion.Work {
     private static final String KEY = "endivetray/live/daemon/";
-    private static final long GAP_MILLIS = 1_000;
+    private static final long GAP_MILLIS = 1_500;
     private static final long LOST_MILLIS = 4_500;
     private static final long LATE_LEAST_MILLIS = 1_000;
     private static final long LATE_MOST_MILLIS = 6_000;
