--- a/review/rig2/Daemon.java
+++ b/review/rig2/Daemon.java
@@ -73,10 +73,6 @@
         return Http.call(mReady, "GET", "/api/ready", "x", null, 500).status() == 200;
     }
 
-    boolean isAlive() {
-        return mProcess != null && mProcess.isAlive();
-    }
-
     void destroy() {
         if (mProcess != null) {
             mProcess.destroyForcibly();
--- a/review/rig2/LostRegistration.java
+++ b/review/rig2/LostRegistration.java
@@ -2,6 +2,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -137,7 +138,7 @@
             ObjectNode step = Http.object().put("count", 2).put("cpu", 1_800).put("mem_mb", 500)
                     .put("estimate_ms", 640);
             List<Daemon> at = new ArrayList<>(mRig.mDaemons);
-            java.util.Collections.rotate(at, i);
+            Collections.rotate(at, i);
             if (mRig.submit("quick-lead", id, Rig.job("chart " + i, step), at)) {
                 accepted.add(id);
             }
--- a/review/rig2/Rig.java
+++ b/review/rig2/Rig.java
@@ -26,7 +26,6 @@
     /** What the minions have seen, by work unit. */
     static final Map<String, Integer> STARTS = new HashMap<>();
 
-    static final Map<String, Long> FIRST_START_MILLIS = new HashMap<>();
 
     /** Times of the starts (1) and ends (0) of runs. */
     private static final Map<String, List<long[]>> EVENTS = new HashMap<>();
@@ -68,7 +67,6 @@
     static void onStart(Minion minion, String task, int run) {
         synchronized (STARTS) {
             STARTS.merge(task, 1, Integer::sum);
-            FIRST_START_MILLIS.putIfAbsent(task, nowMillis());
             EVENTS.computeIfAbsent(task, ignored -> new ArrayList<>())
                     .add(new long[] {nowMillis(), 1});
         }
@@ -107,13 +105,6 @@
         }
     }
 
-    /** Returns the time of the first start of a work unit, negative if there was none. */
-    static long firstStartMillis(String task) {
-        synchronized (STARTS) {
-            return FIRST_START_MILLIS.getOrDefault(task, -1L);
-        }
-    }
-
     private Http.Reply onCloud(Http.Request request) {
         if (request.path().equals("/api/machines")) {
             ObjectNode body = Http.object();
