Answer a cancellation only when the job can no longer be accepted

Cause: "no such job" was drawn from the owner's memory and a read of the store. Neither says anything of a submission whose outcome is unknown: the owner repeats its write, and a write of the owner or of another daemon may be carried out late.

Ruled out by the record: a cancellation that the owner did not apply (none was stored), and a 410 for a job that had been accepted (the list of queues, written after the first acceptance, comes 0.15 s after the 410).

Change: a DELETE that finds no job writes a tombstone under the job's location, whose absence is a condition of every acceptance, and is answered 410 once that is confirmed; if the job was accepted meanwhile, the DELETE goes to its pool. A later POST is refused. The owner removes tombstones and cancellations after the retention time; cancellations in the inbox were never removed before. GET of a job that is being stored is answered as unknown in place of "no such job".

--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/JobRouter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/JobRouter.java
@@ -15,6 +15,7 @@
 import org.endivetray.EndivetrayException;
 import org.endivetray.daemon.job.ownership.OwnershipView;
 import org.endivetray.daemon.job.peer.PeerClient;
+import org.endivetray.daemon.job.record.StoredLocation;
 import org.endivetray.daemon.observe.JobMetrics;
 import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobAnswer.Verdict;
@@ -34,7 +35,8 @@
  * Routes callers' requests to the owner of the pool's shard, and falls back to the shared store if
  * the owner does not answer or does not know the job.
  *
- * <p>Invariants: a request that may have reached an owner that did not answer is never refused.
+ * <p>Invariants: a request that may have reached an owner that did not answer is never refused; a
+ * job whose cancellation was answered is never accepted later.
  *
  * <p>This class is thread-safe.
  */
@@ -221,22 +223,34 @@
         return mFallback
                 .location(id)
                 .compose(
-                        pool -> {
-                            if (pool.isPresent() && !pool.get().equals(queue.pool())) {
-                                return askPool(action, queue.withPool(pool.get()), id, fallback);
+                        location -> {
+                            if (location.isEmpty()) {
+                                return here.get()
+                                        .compose(
+                                                answer ->
+                                                        search(
+                                                                action, queue, id, fallback,
+                                                                answer));
                             }
-                            return pool.isPresent()
+                            return location.get().pool().equals(queue.pool())
                                     ? here.get()
-                                    : here.get()
-                                            .compose(
-                                                    answer ->
-                                                            search(
-                                                                    action, queue, id, fallback,
-                                                                    answer));
+                                    : askAt(location.get(), action, queue, id, fallback);
                         })
                 .otherwise(JobAnswer.unknown("the store did not answer"));
     }
 
+    /** Passes a request to the pool that has accepted a job, if one has. */
+    private Future<JobAnswer> askAt(
+            StoredLocation location,
+            JobAction action,
+            QueueConfig queue,
+            String id,
+            Function<QueueConfig, Future<JobAnswer>> fallback) {
+        return location.equals(StoredLocation.TOMBSTONE)
+                ? Future.succeededFuture(JobAnswer.noSuchJob())
+                : askPool(action, queue.withPool(location.pool()), id, fallback);
+    }
+
     /**
      * Looks for a job that has no location in the pools in which a daemon of the earlier version
      * may have accepted it.
@@ -253,10 +267,33 @@
         return mFallback
                 .search(id, poolsToSearch(queue))
                 .compose(
-                        pool ->
-                                pool.isPresent()
-                                        ? askPool(action, queue.withPool(pool.get()), id, fallback)
-                                        : Future.succeededFuture(answer));
+                        pool -> {
+                            if (pool.isPresent()) {
+                                return askPool(action, queue.withPool(pool.get()), id, fallback);
+                            }
+                            return action == JobAction.CANCEL
+                                    ? cancelUnstored(queue, id, fallback)
+                                    : Future.succeededFuture(answer);
+                        });
+    }
+
+    /**
+     * Cancels a job that no pool has accepted. An owner, or another daemon, may be storing it, so
+     * the caller is told that there is no such job only once it cannot be accepted any more.
+     */
+    private Future<JobAnswer> cancelUnstored(
+            QueueConfig queue, String id, Function<QueueConfig, Future<JobAnswer>> fallback) {
+        return mFallback
+                .preventAcceptance(queue, id)
+                .compose(
+                        location -> {
+                            LOGGER.log(
+                                    Level.INFO,
+                                    "front: cancelled before acceptance job={0} location={1}",
+                                    id,
+                                    location);
+                            return askAt(location, JobAction.CANCEL, queue, id, fallback);
+                        });
     }
 
     /** Returns the other pools that have, or may have, jobs of a queue. */
--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/StoreFallback.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/StoreFallback.java
@@ -31,6 +31,7 @@
  */
 final class StoreFallback {
     private static final long RETRY_AFTER_MILLIS = 1_000;
+    private static final byte[] CANCELLATION = {'1'};
 
     private final SharedStore mStore;
 
@@ -56,7 +57,12 @@
                 .map(
                         result ->
                                 switch (result.outcome()) {
-                                    case DONE, CONFLICT -> JobAnswer.ok();
+                                    case DONE -> JobAnswer.ok();
+                                    case CONFLICT ->
+                                            StoredLocation.isTombstone(
+                                                            result.currentOf(JobKeys.location(id)))
+                                                    ? JobAnswer.cancelledBefore()
+                                                    : JobAnswer.ok();
                                     case NOT_DONE, NO_SUCH_LEASE ->
                                             JobAnswer.refused(
                                                     RETRY_AFTER_MILLIS, "the store refused");
@@ -64,16 +70,50 @@
                                 });
     }
 
-    /**
-     * Returns the stored location of a job: the pool that has accepted it, empty if there is none.
-     */
-    Future<Optional<String>> location(String id) {
+    /** Returns the stored location of a job, empty if there is none. */
+    Future<Optional<StoredLocation>> location(String id) {
         return mStore.read(JobKeys.location(id))
-                .map(item -> item.isPresent() ? Optional.of(pool(item)) : Optional.<String>empty());
+                .map(
+                        item ->
+                                item.isPresent()
+                                        ? Optional.of(StoredLocation.decode(item))
+                                        : Optional.<StoredLocation>empty());
     }
 
-    private static String pool(VersionedValue location) {
-        return RecordCodec.decode(location.key(), location.value(), StoredLocation.class).pool();
+    /**
+     * Keeps a job that is not stored from being accepted by any pool. The cancellation in the inbox
+     * lets the owner remove the tombstone once no submission of the job can arrive any more.
+     *
+     * @return the location of the job: a tombstone, or the pool that has accepted it meanwhile;
+     *     fails if the store does not confirm it
+     */
+    Future<StoredLocation> preventAcceptance(QueueConfig queue, String id) {
+        String location = JobKeys.location(id);
+        Commit commit =
+                new Commit(
+                        List.of(
+                                new Condition(location, SharedStore.ABSENT),
+                                new Condition(JobKeys.jobs(queue.pool()) + id, SharedStore.ABSENT),
+                                new Condition(
+                                        JobKeys.inboxJobs(queue.pool()) + id, SharedStore.ABSENT)),
+                        List.of(
+                                StoredLocation.write(id, StoredLocation.TOMBSTONE.pool()),
+                                cancellation(queue, id)),
+                        List.of());
+        return mStore.commit(commit)
+                .compose(
+                        result -> {
+                            VersionedValue current = result.currentOf(location);
+                            return switch (result.outcome()) {
+                                case DONE -> Future.succeededFuture(StoredLocation.TOMBSTONE);
+                                case CONFLICT ->
+                                        Future.succeededFuture(
+                                                current.isPresent()
+                                                        ? StoredLocation.decode(current)
+                                                        : new StoredLocation(queue.pool()));
+                                default -> Future.failedFuture("the store did not answer");
+                            };
+                        });
     }
 
     /**
@@ -137,13 +177,14 @@
                 .otherwise(JobAnswer.unknown("the store did not answer"));
     }
 
+    private static Write cancellation(QueueConfig queue, String id) {
+        return new Write(
+                JobKeys.inboxCancellations(queue.pool()) + id, CANCELLATION, SharedStore.NO_LEASE);
+    }
+
     private Future<JobAnswer> storeCancellation(QueueConfig queue, String id) {
-        Write write =
-                new Write(
-                        JobKeys.inboxCancellations(queue.pool()) + id,
-                        new byte[] {'1'},
-                        SharedStore.NO_LEASE);
-        return mStore.commit(new Commit(List.of(), List.of(write), List.of()))
+        Commit commit = new Commit(List.of(), List.of(cancellation(queue, id)), List.of());
+        return mStore.commit(commit)
                 .map(
                         result ->
                                 result.outcome() == CommitOutcome.DONE
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/BatchWriter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/BatchWriter.java
@@ -217,14 +217,14 @@
             VersionedValue current = result.currentOf(change.key());
             if (current.version() == change.version()) {
                 if (change.isOtherKeyPresent(result)) {
-                    change.onExists(current);
+                    change.onExists(result);
                 } else {
                     requeue(change);
                 }
             } else if (Arrays.equals(current.value(), change.value())) {
                 onStored(change, current.version());
             } else if (change.isCreation()) {
-                change.onExists(current);
+                change.onExists(result);
             } else {
                 change.mVersion = current.version();
                 requeue(change);
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Change.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Change.java
@@ -8,7 +8,6 @@
 import org.endivetray.platform.SharedStore.CommitResult;
 import org.endivetray.platform.SharedStore.Condition;
 import org.endivetray.platform.SharedStore.Write;
-import org.endivetray.platform.VersionedValue;
 
 /**
  * A key to write, with callbacks for the outcome.
@@ -23,7 +22,7 @@
     private final boolean mIsCreation;
     private final Consumer<Long> mOnStored;
     private final Consumer<CommitOutcome> mOnFailed;
-    private final Consumer<VersionedValue> mOnExists;
+    private final Consumer<CommitResult> mOnExists;
 
     /** Other keys that must not exist when the key is created. */
     private final List<String> mAlsoAbsent;
@@ -48,7 +47,7 @@
             Write alsoWritten,
             Consumer<Long> onStored,
             Consumer<CommitOutcome> onFailed,
-            Consumer<VersionedValue> onExists) {
+            Consumer<CommitResult> onExists) {
         mKey = key;
         mValue = value;
         mVersion = version;
@@ -82,8 +81,7 @@
      * @param alsoWritten written together with it; its key must not exist either; not null
      * @param onStored called with the new version once it is stored, not null
      * @param onFailed called after each attempt that the store did not confirm, not null
-     * @param onExists called with the current state of the key if it or one of the other keys
-     *     exists, not null
+     * @param onExists called with the current state of the keys if one of them exists, not null
      */
     static Change creation(
             String key,
@@ -92,7 +90,7 @@
             Write alsoWritten,
             Consumer<Long> onStored,
             Consumer<CommitOutcome> onFailed,
-            Consumer<VersionedValue> onExists) {
+            Consumer<CommitResult> onExists) {
         return new Change(
                 key,
                 value,
@@ -159,7 +157,7 @@
         mOnFailed.accept(outcome);
     }
 
-    void onExists(VersionedValue current) {
-        mOnExists.accept(current);
+    void onExists(CommitResult result) {
+        mOnExists.accept(result);
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
@@ -18,6 +18,7 @@
 import org.endivetray.job.QueueConfig;
 import org.endivetray.platform.RecordCodec;
 import org.endivetray.platform.SharedStore.CommitOutcome;
+import org.endivetray.platform.SharedStore.CommitResult;
 import org.endivetray.platform.VersionedValue;
 import org.endivetray.policy.job.MemoryLimit;
 
@@ -39,7 +40,7 @@
     private static final long RETRY_AFTER_OVERLOAD_MILLIS = 2_000;
 
     /** Time for which records are kept beyond the retention time. */
-    private static final long PURGE_MARGIN_MILLIS = TimeUnit.SECONDS.toMillis(60);
+    static final long PURGE_MARGIN_MILLIS = TimeUnit.SECONDS.toMillis(60);
 
     /** Longest time that a list of the inbox takes, several pages with the time limit of each. */
     private static final long MAX_LIST_NANOS = TimeUnit.SECONDS.toNanos(10);
@@ -49,6 +50,7 @@
     private final BatchWriter mWriter;
     private final TaskLifecycle mLifecycle;
     private final MemoryUse mMemory;
+    private final CancellationCleaner mCancellations;
     private final Map<String, List<Promise<JobAnswer>>> mPendingSubmissions = new HashMap<>();
 
     /** Sizes of the records that are being stored, in bytes, by job id. */
@@ -61,12 +63,14 @@
             ShardState state,
             BatchWriter writer,
             TaskLifecycle lifecycle,
-            MemoryUse memory) {
+            MemoryUse memory,
+            CancellationCleaner cancellations) {
         mExecutor = executor;
         mState = state;
         mWriter = writer;
         mLifecycle = lifecycle;
         mMemory = memory;
+        mCancellations = cancellations;
     }
 
     /**
@@ -117,7 +121,7 @@
                                         new JobEntry(
                                                 id, stored, record.length, mExecutor.nanoTime())),
                         outcome -> onNotStored(id, outcome),
-                        current -> onExists(id, current)),
+                        result -> onExists(id, result)),
                 true);
     }
 
@@ -165,11 +169,16 @@
         }
     }
 
-    private void onExists(String id, VersionedValue current) {
+    private void onExists(String id, CommitResult result) {
         release(id);
-        if (current.isPresent()) {
-            ShardLoader.decodeJob(current, JobKeys.jobs(mState.mPool), mExecutor.nanoTime())
+        VersionedValue job = result.currentOf(JobKeys.jobs(mState.mPool) + id);
+        if (job.isPresent()) {
+            ShardLoader.decodeJob(job, JobKeys.jobs(mState.mPool), mExecutor.nanoTime())
                     .ifPresent(this::onAccepted);
+        } else if (StoredLocation.isTombstone(result.currentOf(JobKeys.location(id)))) {
+            LOGGER.log(Level.INFO, "job: not accepted, was cancelled job={0}", id);
+            answerAll(id, JobAnswer.cancelledBefore());
+            return;
         }
         answerAll(id, JobAnswer.ok());
     }
@@ -212,6 +221,7 @@
      * yet, it is cancelled as soon as it is accepted.
      */
     void onInboxCancellation(String id) {
+        mCancellations.add(id);
         JobEntry job = mState.mJobs.get(id);
         if (job == null) {
             mState.mEarlyCancellations.add(id);
@@ -223,6 +233,7 @@
     /** Cancels the jobs whose cancellation was stored before this owner had loaded them. */
     void applyEarlyCancellations() {
         for (String id : List.copyOf(mState.mEarlyCancellations)) {
+            mCancellations.add(id);
             JobEntry job = mState.mJobs.get(id);
             if (job != null) {
                 mState.mEarlyCancellations.remove(id);
@@ -240,10 +251,18 @@
         }
     }
 
-    /** Returns the state of a job, which is a final state only once that state is stored. */
+    /**
+     * Returns the state of a job, which is a final state only once that state is stored, and is
+     * unknown while the job is being stored.
+     */
     JobAnswer state(String id) {
         JobEntry job = mState.mJobs.get(id);
-        return job == null ? JobAnswer.noSuchJob() : JobAnswer.ofState(job.mStoredState);
+        if (job != null) {
+            return JobAnswer.ofState(job.mStoredState);
+        }
+        return mPendingBytes.containsKey(id)
+                ? JobAnswer.unknown("the job is being stored")
+                : JobAnswer.noSuchJob();
     }
 
     /** Cancels a job and answers once the cancellation is stored. */
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -56,6 +56,7 @@
     private final MinionMonitor mMonitor;
     private final OccurrenceLoader mLoader;
     private final Dispatcher mDispatcher;
+    private final CancellationCleaner mCancellations;
     private final JobRequestHandler mRequestHandler;
     private final InboxWatcher mInboxWatcher;
     private final MinionDrainer mDrainer;
@@ -109,9 +110,17 @@
         mMonitor = new MinionMonitor(context, mState, mWriter, mLifecycle, onFenced);
         mDispatcher = new Dispatcher(context, mState, mLifecycle, durations);
         mLoader = new OccurrenceLoader(mState, context.memory());
+        mCancellations =
+                new CancellationCleaner(
+                        context, mState, owner, JobRequestHandler.PURGE_MARGIN_MILLIS);
         mRequestHandler =
                 new JobRequestHandler(
-                        context.executor(), mState, mWriter, mLifecycle, context.memory());
+                        context.executor(),
+                        mState,
+                        mWriter,
+                        mLifecycle,
+                        context.memory(),
+                        mCancellations);
         Runnable onOwnerChanged = () -> markLost("owner changed in the store");
         mInboxWatcher =
                 new InboxWatcher(
@@ -224,6 +233,7 @@
             mPurgedNanos = nowNanos;
             mRequestHandler.purge(mContext.limits().retentionMillis());
         }
+        mCancellations.tick(nowNanos);
         if (mPhase != Phase.LOST) {
             mWriter.flush(nowNanos);
         }
--- a/model/src/main/java/org/endivetray/job/JobAnswer.java
+++ b/model/src/main/java/org/endivetray/job/JobAnswer.java
@@ -13,6 +13,9 @@
  */
 public record JobAnswer(
         Verdict verdict, JobState state, int pending, long retryAfterMillis, String reason) {
+    /** Time for which no job is accepted under the id of a cancelled one, at the least. */
+    private static final long RETRY_AFTER_CANCELLATION_MILLIS = 120_000;
+
     /** The result of a request. */
     public enum Verdict {
         /** The request was carried out. */
@@ -57,6 +60,12 @@
         return new JobAnswer(Verdict.REFUSED, null, -1, retryAfterMillis, reason);
     }
 
+    /** Returns an answer to a submission of a job that was cancelled before it was accepted. */
+    public static JobAnswer cancelledBefore() {
+        return refused(
+                RETRY_AFTER_CANCELLATION_MILLIS, "the job was cancelled before it was accepted");
+    }
+
     /** Returns an answer to a request that may or may not have been carried out. */
     public static JobAnswer unknown(String reason) {
         return new JobAnswer(Verdict.UNKNOWN, null, -1, 0, reason);
