Mark a pool's inbox so that it gets an owner whatever the configuration says

The owner of the pool had been killed, the job was in the inbox, and a manifest sent the pool's only queue to another service before the lease of the owner had ended.

Cause: which pools need an owner was inferred from the manifest and from the queues that earlier owners had recorded. A job in an inbox is in neither, nor is one whose owner ends after its answer and before it has recorded the queue.

Ruled out by the record: an owner that does not read the inbox (there is no owner key), and a job in the inbox of the other pool (no start there).

The owner removes the mark in the version up to which it has read the inbox, once the queues are recorded. An owner records a queue before or with its first job and answers after both. What looks for the pool of a job moved from JobRouter to JobFinder.

--- a/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipManager.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipManager.java
@@ -128,8 +128,7 @@
     private Set<String> wanted() {
         Set<String> wanted = new TreeSet<>(mWanted);
         if (!mWanted.isEmpty()) {
-            OwnershipView view = mWatch.view();
-            view.poolQueues().keySet().stream().filter(view::hasJobs).forEach(wanted::add);
+            wanted.addAll(mWatch.view().poolsWithJobs());
         }
         return wanted;
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipView.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipView.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * A snapshot of the live daemons and the shards' owners at one revision of the shared store.
@@ -17,24 +18,36 @@
  * @param owners the owners by shard, not null
  * @param poolQueues by pool, the queues of whose jobs its owner holds records; a pool that has
  *     never had an owner is missing; not null
+ * @param inboxes the pools in whose inbox there may be jobs that no owner has read, not null
  */
 public record OwnershipView(
         long revision,
         Map<String, DaemonRecord> daemons,
         Map<String, ShardOwner> owners,
-        Map<String, Set<String>> poolQueues) {
+        Map<String, Set<String>> poolQueues,
+        Set<String> inboxes) {
     /** The view before the store has been read. */
-    public static final OwnershipView EMPTY = new OwnershipView(0, Map.of(), Map.of(), Map.of());
+    public static final OwnershipView EMPTY =
+            new OwnershipView(0, Map.of(), Map.of(), Map.of(), Set.of());
 
     public OwnershipView {
         daemons = Map.copyOf(daemons);
         owners = Map.copyOf(owners);
         poolQueues = Map.copyOf(poolQueues);
+        inboxes = Set.copyOf(inboxes);
     }
 
-    /** Returns whether the owner of a pool's shard holds records of jobs. */
+    /** Returns whether records of jobs of a pool are stored, as far as all daemons know. */
     public boolean hasJobs(String pool) {
-        return !poolQueues.getOrDefault(pool, Set.of()).isEmpty();
+        return !poolQueues.getOrDefault(pool, Set.of()).isEmpty() || inboxes.contains(pool);
+    }
+
+    /** Returns the pools of which records of jobs are stored. */
+    public List<String> poolsWithJobs() {
+        return Stream.concat(poolQueues.keySet().stream(), inboxes.stream())
+                .filter(this::hasJobs)
+                .distinct()
+                .toList();
     }
 
     /** Returns the pools other than a given one that hold records of a queue's jobs. */
--- a/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipWatch.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipWatch.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import org.endivetray.EndivetrayException;
@@ -81,6 +82,7 @@
         Map<String, OwnershipView.DaemonRecord> daemons = new HashMap<>();
         Map<String, OwnershipView.ShardOwner> owners = new HashMap<>();
         Map<String, Set<String>> poolQueues = new HashMap<>();
+        Set<String> inboxes = new HashSet<>();
         for (VersionedValue item : mItems.values()) {
             try {
                 if (item.key().startsWith(JobKeys.DAEMON_PREFIX)) {
@@ -102,13 +104,15 @@
                     poolQueues.put(
                             item.key().substring(JobKeys.POOL_QUEUES_PREFIX.length()),
                             queues.queues());
+                } else if (item.key().startsWith(JobKeys.INBOX_PREFIX)) {
+                    inboxes.add(item.key().substring(JobKeys.INBOX_PREFIX.length()));
                 }
             } catch (EndivetrayException e) {
                 LOGGER.log(
                         Level.ERROR, "state: ignored unreadable record key={0} {1}", item.key(), e);
             }
         }
-        mView = new OwnershipView(revision, daemons, owners, poolQueues);
+        mView = new OwnershipView(revision, daemons, owners, poolQueues, inboxes);
         mOnChange.run();
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/record/JobKeys.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/record/JobKeys.java
@@ -10,7 +10,7 @@
 public final class JobKeys {
     /**
      * Prefix of the keys that all daemons watch. They are removed when the lease of a daemon ends,
-     * except for those under {@link #POOL_QUEUES_PREFIX}.
+     * except for those under {@link #POOL_QUEUES_PREFIX} and {@link #INBOX_PREFIX}.
      */
     public static final String LIVE_PREFIX = "endivetray/live/";
 
@@ -23,6 +23,9 @@
     /** Prefix of the queues of whose jobs the pools' owners hold records. */
     public static final String POOL_QUEUES_PREFIX = LIVE_PREFIX + "queues/";
 
+    /** Prefix of the marks of pools in whose inbox their owner may have jobs to read. */
+    public static final String INBOX_PREFIX = LIVE_PREFIX + "inbox/";
+
     private static final String LOCATION_PREFIX = "endivetray/location/";
 
     private static final String POOL_PREFIX = "endivetray/pool/";
--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/JobRouter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/JobRouter.java
@@ -6,16 +6,12 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.OptionalInt;
-import java.util.Set;
-import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
-import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.endivetray.EndivetrayException;
 import org.endivetray.daemon.job.ownership.OwnershipView;
 import org.endivetray.daemon.job.peer.PeerClient;
-import org.endivetray.daemon.job.record.StoredLocation;
 import org.endivetray.daemon.observe.JobMetrics;
 import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobAnswer.Verdict;
@@ -27,16 +23,13 @@
 import org.endivetray.platform.site.SiteCodec;
 import org.endivetray.wire.gen.Body;
 import org.endivetray.wire.gen.JobAction;
-import org.endivetray.wire.gen.JobReply;
 import org.endivetray.wire.gen.JobRequest;
-import org.endivetray.wire.gen.JobVerdict;
 
 /**
  * Routes callers' requests to the owner of the pool's shard, and falls back to the shared store if
  * the owner does not answer or does not know the job.
  *
- * <p>Invariants: a request that may have reached an owner that did not answer is never refused; a
- * job whose cancellation was answered is never accepted later.
+ * <p>Invariants: a request that may have reached an owner that did not answer is never refused.
  *
  * <p>This class is thread-safe.
  */
@@ -47,13 +40,14 @@
     private static final long OWNER_TIMEOUT_MILLIS = 900;
 
     private static final long RETRY_AFTER_MILLIS = 1_000;
-    private static final byte[] NO_BODY = new byte[0];
+    static final byte[] NO_BODY = new byte[0];
 
     private final Supplier<SiteConfig> mConfig;
     private final Supplier<OwnershipView> mView;
     private final LocalShards mLocal;
     private final PeerClient mPeers;
     private final StoreFallback mFallback;
+    private final JobFinder mFinder;
     private final JobMetrics mMetrics;
     private final String mName;
     private final PendingCounts mPendingCounts = new PendingCounts();
@@ -88,6 +82,7 @@
         mLocal = local;
         mPeers = peers;
         mFallback = new StoreFallback(store);
+        mFinder = new JobFinder(config, view, mFallback, this::ask);
         mIsIsolated = isIsolated;
         mMetrics = metrics;
     }
@@ -144,18 +139,18 @@
         }
         long start = System.nanoTime();
         return ask(JobAction.SUBMIT, queue, id, body)
-                .compose(reply -> complete(reply, () -> mFallback.submit(queue, id, spec)))
+                .compose(reply -> reply.orElse(() -> mFallback.submit(queue, id, spec)))
                 .onSuccess(answer -> log(JobAction.SUBMIT, queue, id, answer, start));
     }
 
     @Override
     public Future<JobAnswer> state(QueueConfig queue, String id) {
-        return find(JobAction.STATE, queue, id, found -> mFallback.state(found, id));
+        return find(JobAction.STATE, queue, id);
     }
 
     @Override
     public Future<JobAnswer> cancel(QueueConfig queue, String id) {
-        return find(JobAction.CANCEL, queue, id, found -> mFallback.cancel(found, id));
+        return find(JobAction.CANCEL, queue, id);
     }
 
     @Override
@@ -194,151 +189,12 @@
                 : JobAnswer.refused(RETRY_AFTER_MILLIS, "the owner does not answer");
     }
 
-    /**
-     * Passes a request about an accepted job to the pool that has accepted it, which may be another
-     * one than the pool to which the configuration in force sends the queue.
-     */
-    private Future<JobAnswer> find(
-            JobAction action,
-            QueueConfig queue,
-            String id,
-            Function<QueueConfig, Future<JobAnswer>> fallback) {
+    private Future<JobAnswer> find(JobAction action, QueueConfig queue, String id) {
         long start = System.nanoTime();
-        return ask(action, queue, id, NO_BODY)
-                .compose(
-                        reply ->
-                                isAnswered(reply)
-                                        ? Future.succeededFuture(reply.answer())
-                                        : findByLocation(action, queue, id, fallback, reply))
+        return mFinder.find(action, queue, id)
                 .onSuccess(answer -> log(action, queue, id, answer, start));
     }
 
-    private Future<JobAnswer> findByLocation(
-            JobAction action,
-            QueueConfig queue,
-            String id,
-            Function<QueueConfig, Future<JobAnswer>> fallback,
-            OwnerReply reply) {
-        Supplier<Future<JobAnswer>> here = () -> complete(reply, () -> fallback.apply(queue));
-        return mFallback
-                .location(id)
-                .compose(
-                        location -> {
-                            if (location.isEmpty()) {
-                                return here.get()
-                                        .compose(
-                                                answer ->
-                                                        search(
-                                                                action, queue, id, fallback,
-                                                                answer));
-                            }
-                            return location.get().pool().equals(queue.pool())
-                                    ? here.get()
-                                    : askAt(location.get(), action, queue, id, fallback);
-                        })
-                .otherwise(JobAnswer.unknown("the store did not answer"));
-    }
-
-    /** Passes a request to the pool that has accepted a job, if one has. */
-    private Future<JobAnswer> askAt(
-            StoredLocation location,
-            JobAction action,
-            QueueConfig queue,
-            String id,
-            Function<QueueConfig, Future<JobAnswer>> fallback) {
-        return location.equals(StoredLocation.TOMBSTONE)
-                ? Future.succeededFuture(JobAnswer.noSuchJob())
-                : askPool(action, queue.withPool(location.pool()), id, fallback);
-    }
-
-    /**
-     * Looks for a job that has no location in the pools in which a daemon of the earlier version
-     * may have accepted it.
-     */
-    private Future<JobAnswer> search(
-            JobAction action,
-            QueueConfig queue,
-            String id,
-            Function<QueueConfig, Future<JobAnswer>> fallback,
-            JobAnswer answer) {
-        if (answer.verdict() != Verdict.NO_SUCH_JOB) {
-            return Future.succeededFuture(answer);
-        }
-        return mFallback
-                .search(id, poolsToSearch(queue))
-                .compose(
-                        pool -> {
-                            if (pool.isPresent()) {
-                                return askPool(action, queue.withPool(pool.get()), id, fallback);
-                            }
-                            return action == JobAction.CANCEL
-                                    ? cancelUnstored(queue, id, fallback)
-                                    : Future.succeededFuture(answer);
-                        });
-    }
-
-    /**
-     * Cancels a job that no pool has accepted. An owner, or another daemon, may be storing it, so
-     * the caller is told that there is no such job only once it cannot be accepted any more.
-     */
-    private Future<JobAnswer> cancelUnstored(
-            QueueConfig queue, String id, Function<QueueConfig, Future<JobAnswer>> fallback) {
-        return mFallback
-                .preventAcceptance(queue, id)
-                .compose(
-                        location -> {
-                            LOGGER.log(
-                                    Level.INFO,
-                                    "front: cancelled before acceptance job={0} location={1}",
-                                    id,
-                                    location);
-                            return askAt(location, JobAction.CANCEL, queue, id, fallback);
-                        });
-    }
-
-    /** Returns the other pools that have, or may have, jobs of a queue. */
-    private List<String> poolsToSearch(QueueConfig queue) {
-        OwnershipView view = mView.get();
-        Set<String> pools = new TreeSet<>(view.otherPoolsOf(queue.name(), queue.pool()));
-        SiteConfig config = mConfig.get();
-        if (config != null) {
-            config.queues().stream()
-                    .map(QueueConfig::pool)
-                    .filter(pool -> !view.poolQueues().containsKey(pool))
-                    .forEach(pools::add);
-        }
-        pools.remove(queue.pool());
-        return List.copyOf(pools);
-    }
-
-    private Future<JobAnswer> askPool(
-            JobAction action,
-            QueueConfig queue,
-            String id,
-            Function<QueueConfig, Future<JobAnswer>> fallback) {
-        return ask(action, queue, id, NO_BODY)
-                .compose(reply -> complete(reply, () -> fallback.apply(queue)));
-    }
-
-    /** Returns whether an owner has answered and knows the job. */
-    private static boolean isAnswered(OwnerReply reply) {
-        return reply.answer() != null && reply.answer().verdict() != Verdict.NO_SUCH_JOB;
-    }
-
-    /** Falls back to the store if the owner gave no answer or does not know the job. */
-    private static Future<JobAnswer> complete(
-            OwnerReply ownerReply, Supplier<Future<JobAnswer>> fallback) {
-        if (isAnswered(ownerReply)) {
-            return Future.succeededFuture(ownerReply.answer());
-        }
-        return fallback.get()
-                .map(
-                        answer ->
-                                ownerReply.mayHaveReached() && answer.verdict() == Verdict.REFUSED
-                                        ? JobAnswer.unknown(answer.reason())
-                                        : answer);
-    }
-
     private void log(
             JobAction action, QueueConfig queue, String id, JobAnswer answer, long startNanos) {
         long nanos = System.nanoTime() - startNanos;
@@ -384,19 +240,4 @@
         JobRequest forwarded = request.deepCopy().setMayForward(false);
         return mPeers.send(owner, Body.jobRequest(forwarded), OWNER_TIMEOUT_MILLIS);
     }
-
-    /**
-     * The reply of an owner.
-     *
-     * @param answer the answer, null if there was none
-     * @param mayHaveReached whether the owner may have carried the request out although there is no
-     *     answer
-     */
-    private record OwnerReply(JobAnswer answer, boolean mayHaveReached) {
-        static OwnerReply ofReply(JobReply reply) {
-            return reply.getVerdict() == JobVerdict.NOT_OWNER
-                    ? new OwnerReply(null, false)
-                    : new OwnerReply(JobMessages.answer(reply), false);
-        }
-    }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/StoreFallback.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/StoreFallback.java
@@ -31,7 +31,7 @@
  */
 final class StoreFallback {
     private static final long RETRY_AFTER_MILLIS = 1_000;
-    private static final byte[] CANCELLATION = {'1'};
+    private static final byte[] PRESENT = {'1'};
 
     private final SharedStore mStore;
 
@@ -39,7 +39,10 @@
         mStore = store;
     }
 
-    /** Stores a job in the inbox of the pool's owner, unless it is stored already. */
+    /**
+     * Stores a job in the inbox of the pool's owner, unless it is stored already. The inbox is
+     * marked in the same commit, so that the pool gets an owner whatever the configuration says.
+     */
     Future<JobAnswer> submit(QueueConfig queue, String id, JobSpec spec) {
         String key = JobKeys.inboxJobs(queue.pool()) + id;
         StoredJob stored = new StoredJob(queue.pool(), queue, spec, System.currentTimeMillis());
@@ -51,7 +54,11 @@
                                 new Condition(JobKeys.location(id), SharedStore.ABSENT)),
                         List.of(
                                 new Write(key, RecordCodec.encode(stored), SharedStore.NO_LEASE),
-                                StoredLocation.write(id, queue.pool())),
+                                StoredLocation.write(id, queue.pool()),
+                                new Write(
+                                        JobKeys.INBOX_PREFIX + queue.pool(),
+                                        PRESENT,
+                                        SharedStore.NO_LEASE)),
                         List.of());
         return mStore.commit(commit)
                 .map(
@@ -179,7 +186,7 @@
 
     private static Write cancellation(QueueConfig queue, String id) {
         return new Write(
-                JobKeys.inboxCancellations(queue.pool()) + id, CANCELLATION, SharedStore.NO_LEASE);
+                JobKeys.inboxCancellations(queue.pool()) + id, PRESENT, SharedStore.NO_LEASE);
     }
 
     private Future<JobAnswer> storeCancellation(QueueConfig queue, String id) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/InboxWatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/InboxWatcher.java
@@ -41,6 +41,12 @@
 
     private boolean mIsConfirming;
 
+    /** Revision of the store up to which the inbox has been read. */
+    private long mReadRevision;
+
+    /** Version of the last job that was stored in the inbox, 0 if none was read. */
+    private long mLastJobVersion;
+
     InboxWatcher(
             ShardContext context,
             ShardState state,
@@ -66,9 +72,20 @@
 
     /** Starts to watch for changes after a revision of the store. */
     void start(long revision) {
+        mReadRevision = revision;
         mWatch.startAfter(revision);
     }
 
+    /** Returns whether all jobs that were in the inbox at a revision have been accepted. */
+    boolean hasAccepted(long revision) {
+        return mReadRevision >= revision && mUnconfirmedJobs.isEmpty();
+    }
+
+    /** Returns the version of the last job that was read from the inbox, 0 if none was. */
+    long lastJobVersion() {
+        return mLastJobVersion;
+    }
+
     @Override
     public void onListed(SharedStore.Range range) {
         apply(range);
@@ -88,10 +105,12 @@
         for (VersionedValue item : range.entries()) {
             if (item.isPresent() && item.key().startsWith(jobs)) {
                 mUnconfirmedJobs.add(item);
+                mLastJobVersion = Math.max(mLastJobVersion, item.version());
             } else if (item.isPresent() && item.key().startsWith(cancellations)) {
                 mRequestHandler.onInboxCancellation(item.key().substring(cancellations.length()));
             }
         }
+        mReadRevision = Math.max(mReadRevision, range.revision());
         confirmOwner();
     }
 
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
@@ -50,26 +50,37 @@
     private final BatchWriter mWriter;
     private final TaskLifecycle mLifecycle;
     private final MemoryUse mMemory;
+    private final QueueRecord mQueues;
     private final CancellationCleaner mCancellations;
     private final Map<String, List<Promise<JobAnswer>>> mPendingSubmissions = new HashMap<>();
 
-    /** Sizes of the records that are being stored, in bytes, by job id. */
-    private final Map<String, Integer> mPendingBytes = new HashMap<>();
+    /** The submissions whose outcome is unknown, by job id. */
+    private final Map<String, Reservation> mReservations = new HashMap<>();
 
     private final List<Promise<JobAnswer>> mPendingCancellations = new ArrayList<>();
 
+    /**
+     * A submission that is being stored.
+     *
+     * @param queue name of its queue, not null
+     * @param recordBytes size of its record, in bytes
+     */
+    private record Reservation(String queue, int recordBytes) {}
+
     JobRequestHandler(
             SchedulerExecutor executor,
             ShardState state,
             BatchWriter writer,
             TaskLifecycle lifecycle,
             MemoryUse memory,
+            QueueRecord queues,
             CancellationCleaner cancellations) {
         mExecutor = executor;
         mState = state;
         mWriter = writer;
         mLifecycle = lifecycle;
         mMemory = memory;
+        mQueues = queues;
         mCancellations = cancellations;
     }
 
@@ -77,17 +88,19 @@
      * Stores a job and answers once the outcome is known; a repeated submission adds no second job.
      */
     void submit(QueueConfig queue, String id, JobSpec spec, Promise<JobAnswer> answer) {
-        if (mState.mJobs.containsKey(id)) {
-            answer.complete(JobAnswer.ok());
-            return;
-        }
         List<Promise<JobAnswer>> waiting = mPendingSubmissions.get(id);
         if (waiting != null) {
             waiting.add(answer);
             return;
         }
+        JobEntry accepted = mState.mJobs.get(id);
+        if (accepted != null) {
+            mPendingSubmissions.put(id, new ArrayList<>(List.of(answer)));
+            confirmAccepted(accepted);
+            return;
+        }
         // An earlier attempt whose outcome is unknown may still be stored.
-        boolean mayExist = mPendingBytes.containsKey(id);
+        boolean mayExist = mReservations.containsKey(id);
         if (!mayExist && mState.mActiveJobs.size() >= MAX_ACTIVE_JOBS) {
             answer.complete(
                     JobAnswer.refused(
@@ -109,7 +122,9 @@
             return;
         }
         mPendingSubmissions.put(id, new ArrayList<>(List.of(answer)));
-        reserve(id, record.length);
+        reserve(id, new Reservation(queue.name(), record.length));
+        // Queued before the job, so that the pool keeps an owner from its acceptance on.
+        mQueues.store();
         mWriter.add(
                 Change.creation(
                         JobKeys.jobs(mState.mPool) + id,
@@ -125,17 +140,19 @@
                 true);
     }
 
-    /** Counts the record of a submission until its outcome is known. */
-    private void reserve(String id, int recordBytes) {
+    /** Counts a submission until its outcome is known. */
+    private void reserve(String id, Reservation reservation) {
         release(id);
-        mPendingBytes.put(id, recordBytes);
-        mMemory.addRecordBytes(recordBytes);
+        mReservations.put(id, reservation);
+        mMemory.addRecordBytes(reservation.recordBytes());
+        mState.countJobs(reservation.queue(), 1);
     }
 
     private void release(String id) {
-        Integer recordBytes = mPendingBytes.remove(id);
-        if (recordBytes != null) {
-            mMemory.addRecordBytes(-recordBytes);
+        Reservation reservation = mReservations.remove(id);
+        if (reservation != null) {
+            mMemory.addRecordBytes(-reservation.recordBytes());
+            mState.countJobs(reservation.queue(), -1);
         }
     }
 
@@ -151,12 +168,17 @@
                 job.mStored.queue().name(),
                 Integer.toString(job.mStored.spec().steps().size()),
                 Integer.toString(job.tasksPerOccurrence() * job.mStored.spec().occurrences()));
-        answerAll(job.mId, JobAnswer.ok());
+        confirmAccepted(job);
         if (mState.mEarlyCancellations.remove(job.mId)) {
             mLifecycle.finish(job, JobState.CANCELED);
         }
     }
 
+    /** Answers the submissions of an accepted job once the pool is known to need an owner. */
+    private void confirmAccepted(JobEntry job) {
+        mQueues.afterRecorded(job.mStored.queue().name(), () -> answerAll(job.mId, JobAnswer.ok()));
+    }
+
     private void onNotStored(String id, CommitOutcome outcome) {
         LOGGER.log(Level.INFO, "job: not stored job={0} outcome={1}", id, outcome);
         switch (outcome) {
@@ -174,13 +196,13 @@
         VersionedValue job = result.currentOf(JobKeys.jobs(mState.mPool) + id);
         if (job.isPresent()) {
             ShardLoader.decodeJob(job, JobKeys.jobs(mState.mPool), mExecutor.nanoTime())
-                    .ifPresent(this::onAccepted);
+                    .ifPresentOrElse(this::onAccepted, () -> answerAll(id, JobAnswer.ok()));
         } else if (StoredLocation.isTombstone(result.currentOf(JobKeys.location(id)))) {
             LOGGER.log(Level.INFO, "job: not accepted, was cancelled job={0}", id);
             answerAll(id, JobAnswer.cancelledBefore());
-            return;
+        } else {
+            answerAll(id, JobAnswer.ok());
         }
-        answerAll(id, JobAnswer.ok());
     }
 
     private void answerAll(String id, JobAnswer answer) {
@@ -206,7 +228,7 @@
                 .values()
                 .forEach(answers -> answers.forEach(promise -> promise.tryComplete(answer)));
         mPendingCancellations.forEach(promise -> promise.tryComplete(answer));
-        List.copyOf(mPendingBytes.keySet()).forEach(this::release);
+        List.copyOf(mReservations.keySet()).forEach(this::release);
     }
 
     /** Accepts a job that another daemon has stored in the inbox. */
@@ -260,7 +282,7 @@
         if (job != null) {
             return JobAnswer.ofState(job.mStoredState);
         }
-        return mPendingBytes.containsKey(id)
+        return mReservations.containsKey(id)
                 ? JobAnswer.unknown("the job is being stored")
                 : JobAnswer.noSuchJob();
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/QueueRecord.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/QueueRecord.java
@@ -1,5 +1,7 @@
 package org.endivetray.daemon.job.shard;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.endivetray.daemon.job.record.JobKeys;
@@ -16,7 +18,8 @@
  *
  * <p>Invariants: the record exists only once the location of each job of the shard is stored, so
  * that jobs which a daemon of the earlier version has accepted are found by their location too;
- * left out are those that ended a while ago.
+ * left out are those that ended a while ago. A job is answered as accepted only once its queue is
+ * recorded.
  *
  * <p>This class is not thread-safe; it belongs to the scheduler's thread.
  */
@@ -35,6 +38,10 @@
     private Set<String> mStored;
 
     private boolean mIsStoring;
+    private final List<Waiting> mWaiting = new ArrayList<>();
+
+    /** What is to be done once a queue is recorded. */
+    private record Waiting(String queue, Runnable action) {}
 
     QueueRecord(ShardState state, BatchWriter writer) {
         mState = state;
@@ -60,10 +67,7 @@
                 Write location = StoredLocation.write(job.mId, mState.mPool);
                 mWriter.add(
                         Change.rewrite(
-                                location.key(),
-                                location.value(),
-                                SharedStore.ABSENT,
-                                version -> {}),
+                                location.key(), location.value(), SharedStore.ABSENT, version -> {}),
                         false);
             }
         }
@@ -71,6 +75,30 @@
         mWriter.afterStored(() -> mIsStoring = false);
     }
 
+    /** Returns whether the names are stored. */
+    boolean isStored() {
+        return mState.queues().equals(mStored);
+    }
+
+    /** Runs an action once a queue that has jobs, or is about to, is recorded. */
+    void afterRecorded(String queue, Runnable action) {
+        if (mStored != null && mStored.contains(queue)) {
+            action.run();
+        } else {
+            mWaiting.add(new Waiting(queue, action));
+        }
+    }
+
+    private void onStored(Set<String> names, long version) {
+        mVersion = version;
+        mStored = names;
+        mIsStoring = false;
+        List<Waiting> done =
+                mWaiting.stream().filter(waiting -> names.contains(waiting.queue())).toList();
+        mWaiting.removeAll(done);
+        done.forEach(waiting -> waiting.action().run());
+    }
+
     /** Stores the names if they have changed. */
     void store() {
         Set<String> queues = mState.queues();
@@ -84,11 +112,7 @@
                         JobKeys.POOL_QUEUES_PREFIX + mState.mPool,
                         RecordCodec.encode(new StoredQueues(names)),
                         mVersion,
-                        version -> {
-                            mVersion = version;
-                            mStored = names;
-                            mIsStoring = false;
-                        }),
+                        version -> onStored(names, version)),
                 false);
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -59,6 +59,7 @@
     private final CancellationCleaner mCancellations;
     private final JobRequestHandler mRequestHandler;
     private final InboxWatcher mInboxWatcher;
+    private final InboxMark mInboxMark;
     private final MinionDrainer mDrainer;
     private final StallDetector mStallDetector;
     private final Consumer<Shard> mOnLost;
@@ -120,11 +121,13 @@
                         mWriter,
                         mLifecycle,
                         context.memory(),
+                        mQueueRecord,
                         mCancellations);
         Runnable onOwnerChanged = () -> markLost("owner changed in the store");
         mInboxWatcher =
                 new InboxWatcher(
                         context, mState, mRequestHandler, owner, onOwnerChanged, this::isLost);
+        mInboxMark = new InboxMark(context, pool, mInboxWatcher, mQueueRecord, owner);
         mDrainer = new MinionDrainer(context.executor(), mState, mLifecycle);
         mStallDetector = new StallDetector(mState, mLifecycle, durations);
     }
@@ -214,6 +217,7 @@
         mMonitor.tick(nowNanos);
         mMinionRecord.store();
         mQueueRecord.store();
+        mInboxMark.tick(nowNanos);
         mDrainer.tick(nowNanos);
         mStallDetector.tick(nowNanos);
         adopt(nowNanos);
@@ -263,6 +267,7 @@
         mState.mInheritedLeaseEndNanos = now + TimeUnit.MILLISECONDS.toNanos(bound);
         loaded.restoreTo(mState, now);
         mMinionRecord.onLoaded(loaded.minions().version());
+        mInboxMark.onLoaded(loaded.inboxMark());
         mQueueRecord.onLoaded(loaded.queues(), mContext.executor().currentTimeMillis());
         mPhase = Phase.ADOPTING;
         mLoadedNanos = now;
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardLoader.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardLoader.java
@@ -41,7 +41,8 @@
         Future<SharedStore.Range> progress = store.list(JobKeys.progress(pool), false);
         Future<VersionedValue> minions = store.read(JobKeys.minions(pool));
         Future<VersionedValue> queues = store.read(JobKeys.POOL_QUEUES_PREFIX + pool);
-        return Future.all(inbox, jobs, progress, minions, queues)
+        Future<VersionedValue> inboxMark = store.read(JobKeys.INBOX_PREFIX + pool);
+        return Future.all(inbox, jobs, progress, minions, queues, inboxMark)
                 .map(
                         ignored ->
                                 new LoadedShard(
@@ -49,7 +50,8 @@
                                         jobs.result().entries(),
                                         progress.result().entries(),
                                         minions.result(),
-                                        queues.result()));
+                                        queues.result(),
+                                        inboxMark.result()));
     }
 
     /**
@@ -97,13 +99,15 @@
      * @param progress the jobs' progress, not null
      * @param minions the minions that may hold runs, not null
      * @param queues the names of the queues that have jobs, not null
+     * @param inboxMark the mark of an inbox that may have jobs which no owner has read, not null
      */
     record LoadedShard(
             SharedStore.Range inbox,
             List<VersionedValue> jobs,
             List<VersionedValue> progress,
             VersionedValue minions,
-            VersionedValue queues) {
+            VersionedValue queues,
+            VersionedValue inboxMark) {
         /** Adds the records to the state of a shard. */
         void restoreTo(ShardState state, long nowNanos) {
             Map<String, JobEntry> entries = new LinkedHashMap<>();
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardState.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardState.java
@@ -47,7 +47,7 @@
 
     private final MemoryUse mMemory;
 
-    /** Number of jobs by queue, of the queues that have any. */
+    /** Number of jobs by queue, with those that are being stored, of the queues that have any. */
     private final Map<String, Integer> mJobsPerQueue = new HashMap<>();
 
     private boolean mIsLost;
@@ -128,16 +128,18 @@
         return mIsLost;
     }
 
-    /** Returns the names of the queues that have jobs. */
+    /** Returns the names of the queues that have jobs, or jobs that are being stored. */
     Set<String> queues() {
         return mJobsPerQueue.keySet();
     }
 
+    /** Adds to the number of jobs of a queue, also of those that are being stored. */
+    void countJobs(String queue, int sign) {
+        mJobsPerQueue.merge(queue, sign, (jobs, more) -> jobs + more == 0 ? null : jobs + more);
+    }
+
     private void count(JobEntry job, int sign) {
-        mJobsPerQueue.merge(
-                job.mStored.queue().name(),
-                sign,
-                (jobs, more) -> jobs + more == 0 ? null : jobs + more);
+        countJobs(job.mStored.queue().name(), sign);
         countTasks(job, sign * job.loadedTasks());
         if (!mIsLost) {
             mMemory.addRecordBytes((long) sign * job.mRecordBytes);
--- a/daemon/src/test/java/org/endivetray/daemon/job/DaemonWorld.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/DaemonWorld.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.endivetray.daemon.job.virtual.Delays;
 import org.endivetray.daemon.job.virtual.LeasedStore;
@@ -33,6 +34,7 @@
     private final Delays mDelays;
     private final PlatformMinions mMinions;
     private final Map<String, SimulatedDaemon> mDaemons = new TreeMap<>();
+    private Set<String> mWantedPools = Set.of(POOL);
 
     /** Constructs a world without daemons and minions. */
     DaemonWorld(Delays delays, WorkPlan plan) {
@@ -47,6 +49,16 @@
         return daemon;
     }
 
+    /** Sets the pools to which the configuration sends queues. */
+    void setWantedPools(Set<String> pools) {
+        mWantedPools = pools;
+        mDaemons.values().forEach(daemon -> daemon.setWantedPools(pools));
+    }
+
+    Set<String> wantedPools() {
+        return mWantedPools;
+    }
+
     SimulatedDaemon daemon(String name) {
         return mDaemons.get(name);
     }
--- a/daemon/src/test/java/org/endivetray/daemon/job/SimulatedDaemon.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/SimulatedDaemon.java
@@ -116,7 +116,7 @@
                         store::isAway,
                         SETTLE_MILLIS,
                         mShards);
-        mOwnership.setWantedShards(Set.of(DaemonWorld.POOL), "");
+        setWantedPools(world.wantedPools());
         mOwners.start();
         mProcess.schedule(TICK_MILLIS, this::tick);
     }
@@ -168,6 +168,11 @@
                 });
     }
 
+    /** Sets the pools that need an owner, besides those with stored jobs. */
+    void setWantedPools(Set<String> pools) {
+        mOwnership.setWantedShards(pools, "");
+    }
+
     /** Begins to hand the pool's shard over, as a daemon does that owns too many. */
     void release() {
         mOwnership.release(DaemonWorld.POOL);
--- a/daemon/src/test/java/org/endivetray/daemon/job/fleet/FleetHarness.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/fleet/FleetHarness.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.endivetray.daemon.job.ownership.OwnershipView;
 import org.endivetray.daemon.job.ownership.OwnershipView.DaemonRecord;
 import org.endivetray.daemon.job.ownership.OwnershipView.ShardOwner;
@@ -50,7 +51,8 @@
                     1,
                     Map.of(RECORD.name(), RECORD),
                     Map.of("ice", new ShardOwner(RECORD.name(), 1, 1)),
-                    Map.of());
+                    Map.of(),
+                    Set.of());
         }
 
         @Override
--- a/daemon/src/test/java/org/endivetray/daemon/job/relay/RelayingStoreTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/relay/RelayingStoreTest.java
@@ -137,7 +137,8 @@
                 mDaemons.keySet().stream()
                         .collect(Collectors.toMap(name -> name, RelayingStoreTest::daemonRecord)),
                 Map.of(),
-                Map.of());
+                Map.of(),
+                Set.of());
     }
 
     private Daemon start(String name) {
