Encode a job's progress when it is sent, and a large one less often

Cause: each end of a task encoded the progress of the whole job on the scheduler's thread. A listing names up to 500 ends, so that one reply kept the owner from renewing its lease; what was not stored was not acknowledged, and the next owner was given the same ends.

Change: a change is encoded when it is sent and not when it is queued; after a write of a job's progress the next one waits for a time that grows with its size, but for those that end the job (WritePacing).

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/BatchWriter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/BatchWriter.java
@@ -136,21 +136,29 @@
         List<Condition> conditions = new ArrayList<>(List.of(mOwner));
         List<Write> writes = new ArrayList<>();
         int entries = 1;
+        boolean isFull = false;
         var iterator = mQueued.values().iterator();
-        while (iterator.hasNext()) {
+        while (iterator.hasNext() && !isFull) {
             Change change = iterator.next();
+            if (!change.isDue(nowNanos)) {
+                continue;
+            }
             int size = change.entries();
-            if (entries + size > SharedStore.MAX_COMMIT_ENTRIES) {
-                break;
+            isFull = entries + size > SharedStore.MAX_COMMIT_ENTRIES;
+            if (isFull) {
+                continue;
             }
             entries += size;
             iterator.remove();
             batch.put(change.key(), change);
             change.addTo(conditions, writes);
         }
+        mIsUrgent = isFull;
+        if (batch.isEmpty()) {
+            return;
+        }
         mInFlight = batch;
         mIsSending = true;
-        mIsUrgent = !mQueued.isEmpty();
         mExecutor.onComplete(
                 mStore.commit(new Commit(conditions, writes, List.of())),
                 (result, cause) -> onResult(result));
@@ -221,7 +229,7 @@
                 } else {
                     requeue(change);
                 }
-            } else if (Arrays.equals(current.value(), change.value())) {
+            } else if (Arrays.equals(current.value(), change.sentValue())) {
                 onStored(change, current.version());
             } else if (change.isCreation()) {
                 change.onExists(result);
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Change.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Change.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.endivetray.platform.SharedStore;
 import org.endivetray.platform.SharedStore.CommitOutcome;
@@ -18,7 +19,7 @@
  */
 final class Change {
     private final String mKey;
-    private final byte[] mValue;
+    private final Supplier<byte[]> mEncoder;
     private final boolean mIsCreation;
     private final Consumer<Long> mOnStored;
     private final Consumer<CommitOutcome> mOnFailed;
@@ -30,6 +31,14 @@
     /** Written together with the key, null if nothing is; its key must not exist either. */
     private final Write mAlsoWritten;
 
+    /** The value that was sent last, null if none was. */
+    private byte[] mSentValue;
+
+    /** Time of the monotonic clock before which it is not sent, in nanoseconds. */
+    private long mNotBeforeNanos;
+
+    private boolean mIsPaced;
+
     long mVersion;
 
     /** Position in the order of queueing; a merged change takes the earlier position. */
@@ -40,7 +49,7 @@
 
     private Change(
             String key,
-            byte[] value,
+            Supplier<byte[]> encoder,
             long version,
             boolean isCreation,
             List<String> alsoAbsent,
@@ -49,7 +58,7 @@
             Consumer<CommitOutcome> onFailed,
             Consumer<CommitResult> onExists) {
         mKey = key;
-        mValue = value;
+        mEncoder = encoder;
         mVersion = version;
         mIsCreation = isCreation;
         mAlsoAbsent = alsoAbsent;
@@ -63,13 +72,27 @@
      * Returns a change that writes a key of which the shard's owner is the only writer.
      *
      * @param key the key, not null
-     * @param value the value, not null
+     * @param encoder returns the value; called each time the change is sent, and not if a later
+     *     change of the key replaces this one before; not null
      * @param version the last known version of the key
      * @param onStored called with the new version once it is stored, not null
      */
-    static Change rewrite(String key, byte[] value, long version, Consumer<Long> onStored) {
+    static Change rewrite(
+            String key, Supplier<byte[]> encoder, long version, Consumer<Long> onStored) {
         return new Change(
-                key, value, version, false, List.of(), null, onStored, outcome -> {}, item -> {});
+                key, encoder, version, false, List.of(), null, onStored, outcome -> {}, item -> {});
+    }
+
+    /** Returns this change, which is from now on not sent before a time of the monotonic clock. */
+    Change notBefore(long nanos) {
+        mNotBeforeNanos = nanos;
+        mIsPaced = true;
+        return this;
+    }
+
+    /** Returns whether the change may be sent. */
+    boolean isDue(long nowNanos) {
+        return !mIsPaced || nowNanos - mNotBeforeNanos >= 0;
     }
 
     /**
@@ -93,7 +116,7 @@
             Consumer<CommitResult> onExists) {
         return new Change(
                 key,
-                value,
+                () -> value,
                 SharedStore.ABSENT,
                 true,
                 List.of(alsoAbsent),
@@ -107,8 +130,9 @@
         return mKey;
     }
 
-    byte[] value() {
-        return mValue;
+    /** Returns the value that was sent last, null if none was. */
+    byte[] sentValue() {
+        return mSentValue;
     }
 
     long version() {
@@ -126,9 +150,10 @@
 
     /** Adds the conditions and writes of the change to those of a commit. */
     void addTo(List<Condition> conditions, List<Write> writes) {
+        mSentValue = mEncoder.get();
         conditions.add(new Condition(mKey, mVersion));
         otherKeys().forEach(key -> conditions.add(new Condition(key, SharedStore.ABSENT)));
-        writes.add(new Write(mKey, mValue, SharedStore.NO_LEASE));
+        writes.add(new Write(mKey, mSentValue, SharedStore.NO_LEASE));
         if (mAlsoWritten != null) {
             writes.add(mAlsoWritten);
         }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobEntry.java
@@ -36,6 +36,10 @@
     JobState mState = JobState.QUEUED;
     JobState mStoredState = JobState.QUEUED;
     long mProgressVersion;
+
+    /** Time of the monotonic clock before which the progress is not stored again. */
+    long mNextProgressNanos;
+
     long mEndedMillis;
 
     /** Whether the removal of the stored records has been queued. */
@@ -58,6 +62,7 @@
         mStored = stored;
         mRecordBytes = recordBytes;
         mAcceptedNanos = acceptedNanos;
+        mNextProgressNanos = acceptedNanos;
     }
 
     /** Returns the loaded occurrences, lowest number first. */
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionRecord.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionRecord.java
@@ -48,7 +48,7 @@
         mWriter.add(
                 Change.rewrite(
                         JobKeys.minions(mState.mPool),
-                        RecordCodec.encode(record),
+                        () -> RecordCodec.encode(record),
                         mVersion,
                         version -> onStored(ids, version)),
                 true);
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/QueueRecord.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/QueueRecord.java
@@ -67,7 +67,7 @@
                 Write location = StoredLocation.write(job.mId, mState.mPool);
                 mWriter.add(
                         Change.rewrite(
-                                location.key(), location.value(), SharedStore.ABSENT, version -> {}),
+                                location.key(), location::value, SharedStore.ABSENT, version -> {}),
                         false);
             }
         }
@@ -110,7 +110,7 @@
         mWriter.add(
                 Change.rewrite(
                         JobKeys.POOL_QUEUES_PREFIX + mState.mPool,
-                        RecordCodec.encode(new StoredQueues(names)),
+                        () -> RecordCodec.encode(new StoredQueues(names)),
                         mVersion,
                         version -> onStored(names, version)),
                 false);
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskLifecycle.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskLifecycle.java
@@ -45,7 +45,7 @@
             Runnable onFenced) {
         mContext = context;
         mState = state;
-        mProgressWriter = new ProgressWriter(state, writer);
+        mProgressWriter = new ProgressWriter(context.executor(), state, writer);
         mDurations = durations;
         mQuarantine = new MinionQuarantine(state);
         mStops = new StopOrders(context, onFenced);
