Quarantine a minion for new failures only, and try it if nothing else will do

Cause: runs that were ordered before a quarantine prolonged it when they failed during it; in a pool of long-running tasks nothing ended a series of failures; and tasks that can run nowhere else were kept off all the same.

Change: the decision moved to the policy MinionHealth. Tasks whose failures are limited still wait.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -193,10 +193,33 @@
     }
 
     /**
-     * Returns the minion on which to start a task of a step, null if there is none. Requests
-     * tickets if only minions without a ticket are eligible.
+     * Returns the minion on which to start a task of a step, null if there is none. A quarantined
+     * minion is chosen only for a long-running task that can run on no other; the failures of other
+     * tasks are limited, so that those wait.
      */
     private MinionSession choose(StepEntry step, long nowNanos) {
+        MinionSession best = choose(step, nowNanos, false);
+        boolean mayProbe = best == null && step.mSpec.longRunning();
+        return mayProbe && !hasSoundMinion(step, nowNanos) ? choose(step, nowNanos, true) : best;
+    }
+
+    /** Returns whether a step can run on a minion that is not in quarantine, now or later. */
+    private boolean hasSoundMinion(StepEntry step, long nowNanos) {
+        for (MinionSession minion : mState.mMinions.values()) {
+            if (minion.mIsRegistered
+                    && !minion.mHealth.isQuarantined(nowNanos)
+                    && hasLabel(step.mSpec, minion)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Returns the best of the sound or of the quarantined minions for a task of a step, null if
+     * there is none. Requests tickets if only minions without a ticket are eligible.
+     */
+    private MinionSession choose(StepEntry step, long nowNanos, boolean isProbe) {
         boolean isAdvised =
                 step.mJob.mStored.queue().placementAdvice() && mContext.advisor() != null;
         if (isAdvised && step.mTickets == null) {
@@ -206,7 +229,7 @@
         double bestScore = Double.NEGATIVE_INFINITY;
         List<String> unrequested = new ArrayList<>();
         for (MinionSession minion : mState.mMinions.values()) {
-            if (!isEligible(step, minion, nowNanos)) {
+            if (!isEligible(step, minion, nowNanos, isProbe)) {
                 continue;
             }
             if (isAdvised && ticket(step, minion, nowNanos).isEmpty()) {
@@ -231,16 +254,25 @@
         return best;
     }
 
-    private static boolean isEligible(StepEntry step, MinionSession minion, long nowNanos) {
+    private static boolean isEligible(
+            StepEntry step, MinionSession minion, long nowNanos, boolean isProbe) {
         StepSpec spec = step.mSpec;
-        return minion.isSchedulable(nowNanos)
+        boolean mayStart =
+                isProbe
+                        ? minion.isAvailable(nowNanos) && minion.mHealth.mayProbe(nowNanos)
+                        : minion.isSchedulable(nowNanos);
+        return mayStart
                 && minion.mStartsInFlight < MAX_STARTS_IN_FLIGHT
                 && minion.fits(spec)
-                && (spec.requiredLabel().isEmpty()
-                        || minion.info().labels().contains(spec.requiredLabel()))
+                && hasLabel(spec, minion)
                 && (spec.maxPerMinion() == 0 || step.countOn(minion) < spec.maxPerMinion());
     }
 
+    private static boolean hasLabel(StepSpec spec, MinionSession minion) {
+        return spec.requiredLabel().isEmpty()
+                || minion.info().labels().contains(spec.requiredLabel());
+    }
+
     /**
      * Returns the score of a minion for a step; the minion with the highest score is chosen.
      *
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionQuarantine.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionQuarantine.java
@@ -3,9 +3,11 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.concurrent.TimeUnit;
+import org.endivetray.policy.job.MinionHealth;
 
 /**
- * Quarantines minions on which tasks fail repeatedly: no task is started on them for a time.
+ * Quarantines minions on which tasks fail repeatedly: no task that can run elsewhere is started on
+ * them for a time.
  *
  * <p>Invariants: at most a fixed share of a shard's minions is in quarantine at the same time.
  *
@@ -14,20 +16,6 @@
 final class MinionQuarantine {
     private static final Logger LOGGER = System.getLogger(MinionQuarantine.class.getName());
 
-    /**
-     * Consecutive failures, with no completed task between them, after which a minion is
-     * quarantined.
-     */
-    private static final int FAILURES_IN_A_ROW = 3;
-
-    /** Duration of the first quarantine; it doubles with each further failure. */
-    private static final long FIRST_QUARANTINE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
-
-    private static final int MAX_DOUBLINGS = 3;
-
-    /** Duration of the quarantine of a minion that refuses a start because it is unhealthy. */
-    private static final long REFUSAL_QUARANTINE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-
     /** Highest share of the minions that may be in quarantine at the same time. */
     private static final double MAX_SHARE = 0.4;
 
@@ -39,40 +27,47 @@
 
     /** Records that a task was completed on a minion, which ends its series of failures. */
     void onDone(MinionSession minion) {
-        minion.mConsecutiveFailures = 0;
+        minion.mHealth = minion.mHealth.afterDone();
     }
 
     /** Quarantines a minion that refused a start because it is unhealthy. */
     void onRefusal(MinionSession minion, long nowNanos) {
-        quarantine(minion, REFUSAL_QUARANTINE_NANOS, nowNanos);
+        if (hasRoom(nowNanos)) {
+            quarantine(minion, minion.mHealth.afterRefusal(nowNanos));
+        }
     }
 
-    /** Records that a task failed or stalled on a minion. */
-    void onFailed(MinionSession minion, long nowNanos) {
-        minion.mConsecutiveFailures++;
-        int extraFailures = minion.mConsecutiveFailures - FAILURES_IN_A_ROW;
-        if (extraFailures >= 0) {
-            quarantine(
-                    minion,
-                    FIRST_QUARANTINE_NANOS << Math.min(extraFailures, MAX_DOUBLINGS),
-                    nowNanos);
+    /**
+     * Records that a run failed or stalled on a minion.
+     *
+     * @param minion the minion, not null
+     * @param startedNanos when the run was ordered, on the monotonic clock
+     * @param nowNanos time of the monotonic clock, in nanoseconds
+     */
+    void onFailed(MinionSession minion, long startedNanos, long nowNanos) {
+        MinionHealth before = minion.mHealth;
+        minion.mHealth = before.afterFailure(startedNanos, nowNanos);
+        if (minion.mHealth != before && minion.mHealth.needsQuarantine() && hasRoom(nowNanos)) {
+            quarantine(minion, minion.mHealth.quarantined(nowNanos));
         }
     }
 
-    private void quarantine(MinionSession minion, long durationNanos, long nowNanos) {
+    /** Returns whether one more minion may be quarantined. */
+    private boolean hasRoom(long nowNanos) {
         long quarantined =
                 mState.mMinions.values().stream()
-                        .filter(other -> nowNanos - other.mQuarantinedUntilNanos < 0)
+                        .filter(minion -> minion.mHealth.isQuarantined(nowNanos))
                         .count();
-        if (quarantined + 1 > mState.mMinions.size() * MAX_SHARE) {
-            return;
-        }
-        minion.mQuarantinedUntilNanos = nowNanos + durationNanos;
+        return quarantined + 1 <= mState.mMinions.size() * MAX_SHARE;
+    }
+
+    private static void quarantine(MinionSession minion, MinionHealth health) {
+        minion.mHealth = health;
         LOGGER.log(
                 Level.INFO,
                 "place: minion left out minion={0} failures={1} pause={2}ms",
                 minion.id(),
-                Integer.toString(minion.mConsecutiveFailures),
-                Long.toString(TimeUnit.NANOSECONDS.toMillis(durationNanos)));
+                Integer.toString(health.failures()),
+                Long.toString(TimeUnit.NANOSECONDS.toMillis(health.durationNanos())));
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
@@ -9,6 +9,7 @@
 import org.endivetray.job.MinionInfo;
 import org.endivetray.job.StepSpec;
 import org.endivetray.platform.MinionOrders;
+import org.endivetray.policy.job.MinionHealth;
 
 /**
  * The owner's view of one minion: its clock, its lease, its resources and its tasks.
@@ -75,14 +76,13 @@
     long mLastStoredEnd;
 
     long mNoRoomUntilNanos;
-    long mQuarantinedUntilNanos;
+    MinionHealth mHealth = MinionHealth.SOUND;
 
     /** Time of the first of the latest requests to drain the minion without a pause. */
     long mDrainSinceNanos;
 
     long mDrainUntilNanos;
     boolean mIsDrainUrgent;
-    int mConsecutiveFailures;
     int mStartsInFlight;
 
     MinionSession(MinionInfo info) {
@@ -123,13 +123,17 @@
 
     /** Returns whether tasks may be started on the minion now. */
     boolean isSchedulable(long nowNanos) {
+        return isAvailable(nowNanos) && !mHealth.isQuarantined(nowNanos);
+    }
+
+    /** Returns whether tasks that can run nowhere else may be started on the minion now. */
+    boolean isAvailable(long nowNanos) {
         return mIsResponding
                 && mIsRegistered
                 && mIsRecorded
                 && !mHasUnknownOrphan
                 && !mInfo.draining()
                 && !isDrainRequested(nowNanos)
-                && nowNanos - mQuarantinedUntilNanos >= 0
                 && nowNanos - mNoRoomUntilNanos >= 0;
     }
 
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskLifecycle.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskLifecycle.java
@@ -191,7 +191,7 @@
 
     /** Stops a stalled task and counts it as a failure on its minion. */
     void onStalled(TaskEntry task, long nowNanos) {
-        mQuarantine.onFailed(task.mMinion, nowNanos);
+        mQuarantine.onFailed(task.mMinion, task.mStartSentNanos, nowNanos);
         stop(task, "stalled");
     }
 
@@ -293,7 +293,7 @@
                 mQuarantine.onDone(minion);
                 onDone(task, ended.run(), isCurrent);
             }
-            case FAILED -> onFailed(task, minion, ended.run(), now);
+            case FAILED -> onFailed(task, minion, ended.run(), isCurrent, now);
             default -> saveCheckpoint(task, ended.checkpoint());
         }
     }
@@ -331,13 +331,16 @@
         }
     }
 
-    private void onFailed(TaskEntry task, MinionSession minion, int run, long now) {
+    private void onFailed(
+            TaskEntry task, MinionSession minion, int run, boolean isCurrent, long now) {
         JobEntry job = task.mStep.mJob;
         boolean isCounted = !task.mStep.mSpec.longRunning();
         if (isCounted && !Gang.recordFailure(task, run)) {
             return;
         }
-        mQuarantine.onFailed(minion, now);
+        if (isCurrent) {
+            mQuarantine.onFailed(minion, task.mStartSentNanos, now);
+        }
         if (!isCounted || job.mState.isFinal()) {
             return;
         }
