Soak: late commits in rolling restarts, early cancellations, queues that move

It judges UNASKED (a start, or a run at the end, 17 s after an answered cancellation) and LOST (an open job whose pools are idle for 6 s at the end). The number of daemons can be given.

SoakTest runs seed 503.

--- a/proof/src/test/java/org/endivetray/proof/soak/Soak.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/Soak.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -20,13 +21,20 @@
  * <p>This class is not thread-safe.
  */
 final class Soak {
-    private static final int DAEMONS = 4;
+    private static final int DEFAULT_DAEMONS = 4;
     private static final int CLIENTS = 12;
     private static final int MAX_START_GAP_MILLIS = 2_500;
     private static final int TRIES = 5;
+    private static final int CANCEL_TRIES = 20;
     private static final int NAMED_BREACHES = 5;
     private static final long START_MILLIS = 90_000;
-    private static final long FINISH_MILLIS = 10_000;
+    private static final long FINISH_MILLIS = 20_000;
+
+    /** Share of the jobs whose clients cancel them without awaiting the answer, one in so many. */
+    private static final int CANCELLED_EARLY_ONE_IN = 12;
+
+    /** Time for which a pool may be idle while a job of its queue is open, in milliseconds. */
+    private static final long IDLE_MILLIS = 6_000;
 
     private final SoakSite mSite;
     private final long mSeed;
@@ -46,10 +54,11 @@
      * @param kinds letters of the faults, see {@link SoakFault}, not null
      * @param seconds length of the time in which faults begin, in seconds
      * @param gapMillis mean time between the beginnings of two faults, in milliseconds
+     * @param daemons number of daemons
      */
-    Soak(Path root, Path folder, long seed, String kinds, long seconds, int gapMillis)
+    Soak(Path root, Path folder, long seed, String kinds, long seconds, int gapMillis, int daemons)
             throws IOException {
-        mSite = new SoakSite(root, folder, DAEMONS);
+        mSite = new SoakSite(root, folder, daemons);
         mSeed = seed;
         mKinds = kinds;
         mSeconds = seconds;
@@ -58,14 +67,16 @@
 
     /**
      * Runs a soak and exits with 0 if no rule was broken, with 1 otherwise. The arguments are the
-     * checkout, the folder for the record, the seed, the kinds, the seconds and the gap.
+     * checkout, the folder for the record, the seed, the kinds, the seconds, the gap and, if it is
+     * not four, the number of daemons.
      */
     public static void main(String[] args) throws Exception {
         Path folder = Files.createDirectories(Path.of(args[1]));
         long seed = Long.parseLong(args[2]);
         long seconds = Long.parseLong(args[4]);
         int gapMillis = Integer.parseInt(args[5]);
-        Soak soak = new Soak(Path.of(args[0]), folder, seed, args[3], seconds, gapMillis);
+        int daemons = args.length > 6 ? Integer.parseInt(args[6]) : DEFAULT_DAEMONS;
+        Soak soak = new Soak(Path.of(args[0]), folder, seed, args[3], seconds, gapMillis, daemons);
         Runtime.getRuntime().addShutdownHook(new Thread(soak.mSite::close));
         List<String> breaches = soak.run();
         System.out.printf(
@@ -132,7 +143,11 @@
             String pool = SoakSite.POOLS.get(random.nextInt(SoakSite.POOLS.size()));
             SoakJob job = SoakJob.random(random, id, pool);
             mSite.rules().addJob(job);
-            submit(job, random);
+            if (random.nextInt(CANCELLED_EARLY_ONE_IN) == 0) {
+                SoakRecord.spawn(() -> submitAndCancel(job, new Random(random.nextLong())));
+            } else {
+                submit(job, random);
+            }
             if (mAccepted.containsKey(id) && (job.isLongRunning() || random.nextInt(20) == 0)) {
                 SoakRecord.spawn(() -> cancelLater(job, new Random(random.nextLong())));
             }
@@ -160,13 +175,35 @@
         }
     }
 
+    /** Submits a job once and cancels it, often before the submission is answered. */
+    private void submitAndCancel(SoakJob job, Random random) {
+        mCancelled.add(job.id());
+        SoakDaemon daemon = startedDaemon(random);
+        if (daemon == null) {
+            return;
+        }
+        SoakRecord.spawn(
+                () -> {
+                    int status = daemon.send("POST", job.path(), job.body().toString()).status();
+                    mSite.record().add("POST " + job.path() + " -> " + status);
+                });
+        SoakRecord.sleep(random.nextInt(random.nextBoolean() ? 60 : 1_500));
+        cancel(job, random);
+    }
+
     private void cancelLater(SoakJob job, Random random) {
         SoakRecord.sleep(random.nextInt(4_000));
         mCancelled.add(job.id());
-        for (int i = 0; i < TRIES; i++) {
+        cancel(job, random);
+    }
+
+    /** Cancels a job, again and again until the answer is certain. */
+    private void cancel(SoakJob job, Random random) {
+        for (int i = 0; i < CANCEL_TRIES; i++) {
             SoakDaemon.Answer answer = startedDaemon(random).send("DELETE", job.path(), null);
             mSite.record().add("DELETE " + job.path() + " -> " + answer.status());
             if (answer.isAccepted() || answer.status() == 410) {
+                mSite.rules().onCancelled(job.id());
                 return;
             }
             SoakRecord.sleep(300);
@@ -205,18 +242,36 @@
         }
     }
 
-    /** Waits until all accepted jobs have ended; those that have not are named in the record. */
+    /**
+     * Waits until all accepted jobs have ended; those that have not are named in the record. The
+     * load may have left more work than is done by then, so a job counts as lost only if the pools
+     * that may have accepted it are idle.
+     */
     private void awaitEnds() {
-        long end = System.nanoTime() + FINISH_MILLIS * 1_000_000L;
+        long start = System.nanoTime();
         List<SoakJob> open = new ArrayList<>(mAccepted.values());
         open.removeIf(job -> mCancelled.contains(job.id()) || job.isLongRunning());
         Random random = new Random(mSeed);
-        while (!open.isEmpty() && System.nanoTime() - end < 0) {
+        Map<String, Long> busyNanos = new HashMap<>();
+        while (!open.isEmpty() && System.nanoTime() - start < FINISH_MILLIS * 1_000_000L) {
             open.removeIf(job -> hasEnded(job, random));
+            for (String pool : SoakSite.POOLS) {
+                if (!mSite.rules().isIdle(pool)) {
+                    busyNanos.put(pool, System.nanoTime());
+                }
+            }
             SoakRecord.sleep(500);
         }
+        mSite.rules().checkCancelled();
+        long idleSince = System.nanoTime() - IDLE_MILLIS * 1_000_000L;
         for (SoakJob job : open) {
             mSite.record().add("not ended: " + job);
+            boolean isIdle =
+                    List.of(job.pool(), SoakSite.otherPool(job.pool())).stream()
+                            .allMatch(pool -> busyNanos.getOrDefault(pool, start) - idleSince < 0);
+            if (isIdle) {
+                mSite.rules().breach("LOST", job.path() + " is open and its pools are idle");
+            }
         }
     }
 
--- a/proof/src/test/java/org/endivetray/proof/soak/SoakDaemon.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/SoakDaemon.java
@@ -33,7 +33,7 @@
     private final SoakSite mSite;
     private final Path mRoot;
     private final String mName;
-    private final SoakStore.Entrance mEntrance;
+    private final StoreEntrance mEntrance;
     private final int mFrontPort = freePort();
     private final int mReadyPort = freePort();
     private final int mInnerPort = freePort();
@@ -75,7 +75,7 @@
         return mInnerPort;
     }
 
-    SoakStore.Entrance entrance() {
+    StoreEntrance entrance() {
         return mEntrance;
     }
 
--- a/proof/src/test/java/org/endivetray/proof/soak/SoakFault.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/SoakFault.java
@@ -1,6 +1,5 @@
 package org.endivetray.proof.soak;
 
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -58,13 +57,49 @@
     ROLL('T') {
         @Override
         void run(SoakSite site, SoakDaemon daemon, Random random) throws Exception {
-            for (SoakDaemon next : site.daemons()) {
-                if (next == daemon || next.hold()) {
-                    SoakRecord.spawn(() -> restart(site, next, next != daemon));
-                    SoakRecord.sleep(1_000);
-                }
-            }
-            SoakRecord.sleep(4_000);
+            FaultSteps.roll(site, daemon);
+        }
+    },
+    /** Restarts all daemons in turn while some commits are carried out late, without an answer. */
+    ROLL_LATE('A') {
+        @Override
+        void run(SoakSite site, SoakDaemon daemon, Random random) throws Exception {
+            double share = 0.1 + 0.25 * random.nextDouble();
+            SoakRecord.spawn(() -> FaultSteps.delayCommits(site, share, 4_500));
+            FaultSteps.roll(site, daemon);
+        }
+    },
+    /** Carries some commits out late, without an answer. */
+    LATE_COMMITS('a') {
+        @Override
+        void run(SoakSite site, SoakDaemon daemon, Random random) {
+            double share = 0.1 + 0.4 * random.nextDouble();
+            FaultSteps.delayCommits(site, share, 1_000 + random.nextInt(5_000));
+        }
+    },
+    /** Kills a daemon, and sends a queue of its pools elsewhere before it starts again. */
+    KILL_AND_MOVE('V') {
+        @Override
+        void run(SoakSite site, SoakDaemon daemon, Random random) throws Exception {
+            String pool = site.poolOf(daemon, random);
+            daemon.signal("KILL");
+            daemon.awaitEnd();
+            FaultSteps.moveQueueOf(site, pool, random);
+            daemon.start();
+            SoakRecord.sleep(3_000);
+            site.returnQueue(pool);
+        }
+    },
+    /** Pauses a daemon, and sends a queue of its pools elsewhere before it continues. */
+    PAUSE_AND_MOVE('U') {
+        @Override
+        void run(SoakSite site, SoakDaemon daemon, Random random) throws Exception {
+            String pool = site.poolOf(daemon, random);
+            daemon.signal("STOP");
+            FaultSteps.moveQueueOf(site, pool, random);
+            daemon.signal("CONT");
+            SoakRecord.sleep(3_000);
+            site.returnQueue(pool);
         }
     },
     /** Cuts a daemon off from the store and its peers; it still reaches all minions. */
@@ -84,7 +119,7 @@
     PARTITION('z') {
         @Override
         void run(SoakSite site, SoakDaemon daemon, Random random) {
-            part(site, List.of(daemon), random);
+            FaultSteps.part(site, List.of(daemon), random);
         }
     },
     /** Cuts two daemons off together with some minions. */
@@ -96,7 +131,7 @@
                     .filter(other -> other != daemon && other.hold())
                     .findAny()
                     .ifPresent(inside::add);
-            part(site, inside, random);
+            FaultSteps.part(site, inside, random);
             inside.stream().filter(other -> other != daemon).forEach(SoakDaemon::release);
         }
     },
@@ -268,7 +303,7 @@
             site.record().add("busy loops beside the daemons");
             long end = System.nanoTime() + (1_000 + random.nextInt(5_000)) * 1_000_000L;
             for (int i = 0; i < 6; i++) {
-                startBusyLoop(end);
+                FaultSteps.startBusyLoop(end);
             }
             SoakRecord.sleep((end - System.nanoTime()) / 1_000_000);
         }
@@ -303,65 +338,4 @@
                 .min(Comparator.comparing(SoakDaemon::name))
                 .orElse(site.daemons().get(place));
     }
-
-    /**
-     * Cuts some daemons and about half of the minions off from the store and all others; the
-     * minions come back one by one, and then the daemons.
-     */
-    private static void part(SoakSite site, List<SoakDaemon> daemons, Random random) {
-        List<SoakMinion> inside = site.someMinions(random, 0.3 + 0.4 * random.nextDouble());
-        List<SoakMinion> outside = new ArrayList<>(site.minions());
-        outside.removeAll(inside);
-        List<SoakDaemon> others = new ArrayList<>(site.daemons());
-        others.removeAll(daemons);
-        List<String> names = daemons.stream().map(SoakDaemon::name).toList();
-        site.record().add("partition of " + names + " and " + inside);
-        for (SoakDaemon daemon : daemons) {
-            daemon.entrance().mIsSilent = true;
-            daemon.moveToSide(daemons.get(0).number());
-            outside.forEach(minion -> minion.cutFrom(daemon.name(), true));
-        }
-        for (SoakMinion minion : inside) {
-            minion.silenceReports(true);
-            others.forEach(other -> minion.cutFrom(other.name(), true));
-        }
-        SoakRecord.sleep(3_000 + random.nextInt(10_000));
-        for (SoakMinion minion : inside) {
-            minion.silenceReports(false);
-            others.forEach(other -> minion.cutFrom(other.name(), false));
-            SoakRecord.sleep(random.nextInt(100));
-        }
-        for (SoakDaemon daemon : daemons) {
-            outside.forEach(minion -> minion.cutFrom(daemon.name(), false));
-            daemon.entrance().mIsSilent = false;
-            daemon.moveToSide(0);
-        }
-        site.record().add("end of the partition of " + names);
-    }
-
-    private static void restart(SoakSite site, SoakDaemon daemon, boolean releases) {
-        try {
-            daemon.signal("TERM");
-            daemon.awaitEnd();
-            daemon.start();
-        } catch (IOException | InterruptedException e) {
-            site.record().add("cannot restart " + daemon.name() + ": " + e);
-        } finally {
-            if (releases) {
-                daemon.release();
-            }
-        }
-    }
-
-    private static void startBusyLoop(long endNanos) {
-        String cpus = System.getenv("CPUS");
-        long seconds = Math.max(1, (endNanos - System.nanoTime()) / 1_000_000_000L);
-        String loop = "timeout " + seconds + " sh -c 'while :; do :; done'";
-        try {
-            new ProcessBuilder("sh", "-c", (cpus == null ? "" : "taskset -c " + cpus + " ") + loop)
-                    .start();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
 }
--- a/proof/src/test/java/org/endivetray/proof/soak/SoakRules.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/SoakRules.java
@@ -9,7 +9,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * Judges from what the minions see whether the rules hold: TWICE, LIMIT, UNASKED and ORDER.
+ * Judges from what the minions and the clients see whether the rules hold: TWICE, LIMIT, UNASKED
+ * and ORDER.
  *
  * <p>Invariants: a breach that is reported breaks the rule as the platform states it; an end counts
  * as taken note of only if the minion's lease has not expired between the end and its
@@ -18,12 +19,22 @@
  * <p>This class is thread-safe.
  */
 final class SoakRules {
+    /**
+     * Time after an answered cancellation in which tasks may still be started. It covers the pause
+     * of a daemon, or a partition, after which one that was not in touch learns of it.
+     */
+    private static final long CANCEL_MILLIS = 17_000;
+
     /** Least time by which a start may precede its due time without a breach, in milliseconds. */
     private static final long EARLY_MILLIS = 1_000;
 
     private final SoakRecord mRecord;
     private final SoakStore mStore;
     private final Map<String, SoakJob> mJobs = new ConcurrentHashMap<>();
+
+    /** Times at which cancellations were answered, in milliseconds since 1970, by job. */
+    private final Map<String, Long> mCancelled = new ConcurrentHashMap<>();
+
     private final List<String> mBreaches = new CopyOnWriteArrayList<>();
 
     /** The minions on which a task runs now. */
@@ -43,6 +54,33 @@
         mStore = store;
     }
 
+    /** Called when the cancellation of a job was answered as carried out or not needed. */
+    void onCancelled(String job) {
+        mCancelled.putIfAbsent(job, System.currentTimeMillis());
+    }
+
+    /** Checks that no task of a job runs whose cancellation was answered long before. */
+    synchronized void checkCancelled() {
+        long before = System.currentTimeMillis() - CANCEL_MILLIS;
+        mRunning.forEach(
+                (task, minions) -> {
+                    if (!minions.isEmpty() && isCancelledBefore(task, before)) {
+                        breach("UNASKED", task + " still runs on " + minions);
+                    }
+                });
+    }
+
+    private boolean isCancelledBefore(String task, long millis) {
+        return mCancelled.getOrDefault(job(task).id(), Long.MAX_VALUE) < millis;
+    }
+
+    /** Returns whether no task runs on the minions of a pool. */
+    synchronized boolean isIdle(String pool) {
+        return mRunning.values().stream()
+                .flatMap(Set::stream)
+                .noneMatch(minion -> minion.place().pool().equals(pool));
+    }
+
     void addJob(SoakJob job) {
         mJobs.put(job.id(), job);
     }
@@ -94,6 +132,9 @@
             breach("LIMIT", minion + " runs " + minion.usedCpu() + " and starts " + task);
         }
         checkOrder(task);
+        if (isCancelledBefore(task, System.currentTimeMillis() - CANCEL_MILLIS)) {
+            breach("UNASKED", task + " is started long after its cancellation");
+        }
         Set<SoakMinion> others = mRunning.computeIfAbsent(task, ignored -> new HashSet<>());
         if (!others.isEmpty()) {
             breach(
--- a/proof/src/test/java/org/endivetray/proof/soak/SoakSite.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/SoakSite.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -34,6 +35,10 @@
     private final List<SoakMinion> mMinions = new CopyOnWriteArrayList<>();
     private final List<SoakDaemon> mDaemons = new ArrayList<>();
     private final Map<String, TcpLink> mPeerLinks = new ConcurrentHashMap<>();
+
+    /** The pools to which queues are sent, of the queues that are not sent to their own. */
+    private final Map<String, String> mMovedQueues = new HashMap<>();
+
     private long mVersion;
 
     /** Longest delay of a message to or from a minion, in milliseconds. */
@@ -71,7 +76,34 @@
         }
     }
 
-    /** Writes a manifest with a new version and the same routes and pools. */
+    /** Returns the pool to which the queue of a pool is sent while it is not sent to its own. */
+    static String otherPool(String pool) {
+        return POOLS.get((POOLS.indexOf(pool) + 1) % POOLS.size());
+    }
+
+    /** Returns a pool that a daemon owns, or any one if it owns none. */
+    String poolOf(SoakDaemon daemon, Random random) {
+        return POOLS.stream()
+                .filter(pool -> mStore.owner(pool).equals(daemon.name()))
+                .findFirst()
+                .orElse(POOLS.get(random.nextInt(POOLS.size())));
+    }
+
+    /** Sends the queue of a pool to another pool. */
+    synchronized void moveQueue(String pool) {
+        mRecord.add("the queue of " + pool + " goes to " + otherPool(pool));
+        mMovedQueues.put(pool, otherPool(pool));
+        writeManifest();
+    }
+
+    /** Sends the queue of a pool to that pool again. */
+    synchronized void returnQueue(String pool) {
+        mRecord.add("the queue of " + pool + " is back");
+        mMovedQueues.remove(pool);
+        writeManifest();
+    }
+
+    /** Writes a manifest with a new version. */
     synchronized void writeManifest() {
         ObjectNode manifest = LoopbackServer.object().put("version", ++mVersion);
         ArrayNode routes = manifest.putArray("routes");
@@ -81,7 +113,8 @@
             ObjectNode route = routes.addObject().put("name", "q-" + pool);
             route.put("host", "yard.example").put("prefix", "/" + pool + "/");
             route.put("type", "non_idempotent").put("timeout_ms", 3_000);
-            route.put("target_latency_ms", 600).put("priority", i % 2).put("service", pool);
+            route.put("target_latency_ms", 600).put("priority", i % 2);
+            route.put("service", mMovedQueues.getOrDefault(pool, pool));
             route.put("attempts", 4).put("stretch", 1.6);
             addService(services, pool, false);
         }
--- a/proof/src/test/java/org/endivetray/proof/soak/SoakStore.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/SoakStore.java
@@ -35,23 +35,13 @@
     /** Share of the calls that are carried out and get no answer. */
     volatile double mLostShare;
 
+    /** Share of the commits that are carried out seconds later, without an answer. */
+    volatile double mLateShare;
+
     private record Item(String key, String value, long revision, long created, long lease) {}
 
     private record Event(long revision, String key, Item item) {}
 
-    /** One daemon's way to the store. */
-    static final class Entrance {
-        final String mDaemon;
-        volatile boolean mIsSilent;
-        volatile boolean mRefuses;
-        volatile long mExtraMillis;
-        LoopbackServer mServer;
-
-        Entrance(String daemon) {
-            mDaemon = daemon;
-        }
-    }
-
     private static final class Lease {
         String mDaemon;
         long mTtlMillis;
@@ -61,7 +51,7 @@
     private final TreeMap<String, Item> mItems = new TreeMap<>();
     private final List<Event> mHistory = new ArrayList<>();
     private final Map<Long, Lease> mLeases = new HashMap<>();
-    private final Map<String, Entrance> mEntrances = new ConcurrentHashMap<>();
+    private final Map<String, StoreEntrance> mStoreEntrances = new ConcurrentHashMap<>();
     private final Map<Long, String> mOwners = new ConcurrentHashMap<>();
     private final SoakRecord mRecord;
 
@@ -77,13 +67,13 @@
     }
 
     /** Returns the entrance of a daemon, which is opened at its first use. */
-    synchronized Entrance entrance(String daemon) throws IOException {
-        Entrance entrance = mEntrances.get(daemon);
+    synchronized StoreEntrance entrance(String daemon) throws IOException {
+        StoreEntrance entrance = mStoreEntrances.get(daemon);
         if (entrance == null) {
-            entrance = new Entrance(daemon);
-            Entrance opened = entrance;
+            entrance = new StoreEntrance(daemon);
+            StoreEntrance opened = entrance;
             entrance.mServer = LoopbackServer.start(0, request -> handle(opened, request));
-            mEntrances.put(daemon, entrance);
+            mStoreEntrances.put(daemon, entrance);
         }
         return entrance;
     }
@@ -200,7 +190,7 @@
         notifyAll();
     }
 
-    private LoopbackServer.Reply handle(Entrance from, LoopbackServer.Request request)
+    private LoopbackServer.Reply handle(StoreEntrance from, LoopbackServer.Request request)
             throws InterruptedException {
         if (from.mIsSilent) {
             return null;
@@ -208,6 +198,10 @@
         if (from.mRefuses) {
             return new LoopbackServer.Reply(503, LoopbackServer.object());
         }
+        if (request.path().equals("/api/kv-txn") && Math.random() < mLateShare) {
+            SoakRecord.spawn(() -> executeLate(from, request));
+            return null;
+        }
         if (!request.path().equals("/api/kv-watch")) {
             long extra = mExtraMillis + from.mExtraMillis;
             SoakRecord.sleep(ANSWER_MILLIS + (long) (extra * (0.3 + 0.7 * Math.random())));
@@ -216,8 +210,17 @@
         return from.mIsSilent || Math.random() < mLostShare ? null : reply;
     }
 
-    private synchronized LoopbackServer.Reply execute(Entrance from, LoopbackServer.Request request)
-            throws InterruptedException {
+    private void executeLate(StoreEntrance from, LoopbackServer.Request request) {
+        SoakRecord.sleep(StoreEntrance.lateMillis());
+        try {
+            mRecord.add("late commit of " + from.mDaemon + " " + execute(from, request).status());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized LoopbackServer.Reply execute(
+            StoreEntrance from, LoopbackServer.Request request) throws InterruptedException {
         String path = request.path();
         long number = path.matches(".*/\\d+") ? Long.parseLong(path.replaceAll(".*/", "")) : 0;
         return switch (path.replaceAll("/\\d+$", "")) {
@@ -235,14 +238,14 @@
         };
     }
 
-    private ObjectNode toJson(Entrance reader, Item item) {
+    private ObjectNode toJson(StoreEntrance reader, Item item) {
         ObjectNode row = LoopbackServer.object();
         row.put("key", item.key()).put("value", valueFor(reader, item));
         row.put("revision", item.revision());
         return row.put("created", item.created()).put("lease", item.lease());
     }
 
-    private String valueFor(Entrance reader, Item item) {
+    private String valueFor(StoreEntrance reader, Item item) {
         if (!item.key().startsWith(DAEMON_PREFIX)) {
             return item.value();
         }
@@ -259,14 +262,14 @@
         return Integer.parseInt(name.substring(name.lastIndexOf('-') + 1));
     }
 
-    private LoopbackServer.Reply readKey(Entrance from, String key) {
+    private LoopbackServer.Reply readKey(StoreEntrance from, String key) {
         Item item = mItems.get(key);
         ObjectNode body = item == null ? LoopbackServer.object() : toJson(from, item);
         body.put("store_revision", mRevision);
         return new LoopbackServer.Reply(item == null ? 404 : 200, body);
     }
 
-    private LoopbackServer.Reply readRange(Entrance from, Map<String, String> query) {
+    private LoopbackServer.Reply readRange(StoreEntrance from, Map<String, String> query) {
         String prefix = query.get("prefix");
         String after = query.getOrDefault("after", "");
         ObjectNode body = LoopbackServer.object();
@@ -301,7 +304,7 @@
         return low;
     }
 
-    private LoopbackServer.Reply watch(Entrance from, Map<String, String> query)
+    private LoopbackServer.Reply watch(StoreEntrance from, Map<String, String> query)
             throws InterruptedException {
         String prefix = query.get("prefix");
         long after = Long.parseLong(query.get("after"));
@@ -324,7 +327,7 @@
         }
     }
 
-    private ObjectNode toJson(Entrance from, Event event) {
+    private ObjectNode toJson(StoreEntrance from, Event event) {
         if (event.item() != null) {
             return toJson(from, event.item());
         }
@@ -332,7 +335,7 @@
         return row.put("revision", event.revision()).put("deleted", true);
     }
 
-    private LoopbackServer.Reply commit(Entrance from, JsonNode body) {
+    private LoopbackServer.Reply commit(StoreEntrance from, JsonNode body) {
         JsonNode conditions = body.path("expected_rev");
         JsonNode writes = body.path("set_keys");
         JsonNode removals = body.path("remove");
@@ -374,7 +377,7 @@
         return new LoopbackServer.Reply(200, LoopbackServer.object().put("revision", revision));
     }
 
-    private LoopbackServer.Reply createLease(Entrance from, JsonNode body) {
+    private LoopbackServer.Reply createLease(StoreEntrance from, JsonNode body) {
         Lease lease = new Lease();
         lease.mDaemon = from.mDaemon;
         lease.mTtlMillis = body.path("ttl_ms").asLong();
--- a/proof/src/test/java/org/endivetray/proof/soak/SoakTest.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/SoakTest.java
@@ -55,4 +55,14 @@
     void noTaskRunsTwiceWhileOwnersArePartitionedPausedAndStopped() throws Exception {
         assertThat(soak(6, "zzzqtj", 45, 9_000)).contains(" breaches=0 ");
     }
+
+    /**
+     * Guards against what is done about a late write, a cancellation without a submission or a
+     * moved queue while daemons are restarted, killed and paused: pools without owners, jobs that
+     * run on.
+     */
+    @Test
+    void nothingIsLostOrRunsOnWhileCommitsAreLateAndQueuesMove() throws Exception {
+        assertThat(soak(503, "AAVUa", 40, 4_000)).contains(" breaches=0 ");
+    }
 }
