Keep runs that were confirmed after the listing of a new incarnation was sent

Cause: the first listing that shows a new incarnation gave up all runs of the minion, also those that were confirmed after the listing had been requested. A listing proves nothing about orders that were confirmed later.

Change: such runs are kept until the next listing, which names them or lets them be stopped and given up after the longest stop.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionMonitor.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionMonitor.java
@@ -231,7 +231,7 @@
         session.mHasResponded = true;
         session.onClock(listing.clockMillis(), now);
         if (session.onIncarnation(listing.bornMillis())) {
-            onNewIncarnation(session);
+            onNewIncarnation(session, sentNanos);
         }
         mReconciler.onListed(session, listing, sentNanos);
         mThrottle.onListed(session, now);
@@ -276,7 +276,15 @@
         }
     }
 
-    private void onNewIncarnation(MinionSession session) {
+    /**
+     * Gives up the runs of the earlier incarnation.
+     *
+     * @param session the minion, not null
+     * @param sentNanos time of the monotonic clock at which the listing was requested that has
+     *     shown the new incarnation, in nanoseconds; a start that was confirmed later may have been
+     *     confirmed by the new one, and the next listing tells
+     */
+    private void onNewIncarnation(MinionSession session, long sentNanos) {
         mState.mNeedsToken |= !session.mFence.isRaisedBy(mWriter.lastRevision());
         LOGGER.log(
                 Level.INFO,
@@ -286,6 +294,11 @@
                 session.mFence.isRaised());
         for (TaskEntry task : List.copyOf(session.tasks().values())) {
             boolean isStopVoid = task.mStopAcked && !session.mFence.isRaised();
+            boolean mayBeNew =
+                    task.mPhase == TaskPhase.RUNNING && task.mAckedNanos - sentNanos >= 0;
+            if (mayBeNew) {
+                continue;
+            }
             if (task.mPhase == TaskPhase.STARTING || isStopVoid) {
                 // A start without an answer may still reach the new incarnation.
                 mLifecycle.stop(task, "new incarnation");
--- a/daemon/src/test/java/org/endivetray/daemon/job/DaemonProperties.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/DaemonProperties.java
@@ -19,9 +19,9 @@
     private static final String MIXED = "pktsonmurdvwxchlg";
 
     /** Events after which an owner and its successor reach different minions. */
-    private static final String PARTITIONS = "ppwwhhmmuuxxrv";
+    static final String PARTITIONS = "ppwwhhmmuuxxrv";
 
-    private static void check(long seed, String kinds) {
+    static void check(long seed, String kinds) {
         List<String> broken;
         try (CourseLog quiet = new CourseLog(null)) {
             DaemonCourse course = new DaemonCourse(seed, kinds);
