Share the stand-ins of the new tests of whole daemons

UnconfirmedJobsTest, StoredJobsKeepAnOwnerTest and WholeDaemonTest had the same plans of work and the same start of two daemons.

--- a/daemon/src/test/java/org/endivetray/daemon/job/DaemonWorld.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/DaemonWorld.java
@@ -59,6 +59,30 @@
         return mWantedPools;
     }
 
+    /** Starts a minion and two daemons, of which one owns the pool then. */
+    void startTwoDaemons() {
+        addMinion("m1");
+        start("d1");
+        start("d2");
+        run(3_000);
+    }
+
+    /** Returns the one of two daemons that owns the pool. */
+    SimulatedDaemon owner() {
+        return daemon(daemon("d1").isOwner() ? "d1" : "d2");
+    }
+
+    /** Returns the one of two daemons that does not own the pool. */
+    SimulatedDaemon other() {
+        return daemon(daemon("d1").isOwner() ? "d2" : "d1");
+    }
+
+    /** Lets the two daemons no longer reach each other. */
+    void separate() {
+        daemon("d1").peerLink().setCut("d2", true);
+        daemon("d2").peerLink().setCut("d1", true);
+    }
+
     SimulatedDaemon daemon(String name) {
         return mDaemons.get(name);
     }
--- a/daemon/src/test/java/org/endivetray/daemon/job/StoredJobsKeepAnOwnerTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/StoredJobsKeepAnOwnerTest.java
@@ -7,7 +7,7 @@
 import java.util.Set;
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.daemon.job.virtual.Delays;
-import org.endivetray.daemon.job.virtual.WorkPlan;
+import org.endivetray.daemon.job.virtual.SteadyRuns;
 import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobAnswer.Verdict;
 import org.endivetray.job.TaskEnd;
@@ -30,35 +30,11 @@
     private static final Set<String> OTHER_POOLS = Set.of("charts");
     private static final String INBOX = JobKeys.INBOX_PREFIX + DaemonWorld.POOL;
 
-    /** Every run is done after half a second. */
-    private static final class ShortRuns implements WorkPlan {
-        @Override
-        public Outcome of(String task, int run) {
-            return new Outcome(500, TaskEnd.DONE);
-        }
-
-        @Override
-        public boolean savesCheckpoints(String task) {
-            return false;
-        }
-    }
-
-    private final DaemonWorld mWorld = new DaemonWorld(new Delays(1, 0), new ShortRuns());
+    private final DaemonWorld mWorld = new DaemonWorld(new Delays(1, 0), SteadyRuns.doneAfter(500));
 
     @BeforeEach
     void startDaemons() {
-        mWorld.addMinion("m1");
-        mWorld.start("d1");
-        mWorld.start("d2");
-        mWorld.run(3_000);
-    }
-
-    private SimulatedDaemon owner() {
-        return mWorld.daemon(mWorld.daemon("d1").isOwner() ? "d1" : "d2");
-    }
-
-    private SimulatedDaemon other() {
-        return mWorld.daemon(mWorld.daemon("d1").isOwner() ? "d2" : "d1");
+        mWorld.startTwoDaemons();
     }
 
     private void submit(SimulatedDaemon daemon) {
@@ -79,8 +55,9 @@
     /** Guards against a job in the inbox of a pool that nobody owns any more. */
     @Test
     void aJobInTheInboxRunsAlthoughItsPoolHasLostItsOwnerAndItsQueue() {
-        owner().process().kill();
-        submit(mWorld.daemon("d1").process().isDead() ? mWorld.daemon("d2") : mWorld.daemon("d1"));
+        SimulatedDaemon other = mWorld.other();
+        mWorld.owner().process().kill();
+        submit(other);
         assertThat(mWorld.store().read(INBOX).isPresent()).isTrue();
         mWorld.setWantedPools(OTHER_POOLS);
         assertRunsToItsEnd();
@@ -91,13 +68,10 @@
     @ParameterizedTest
     @ValueSource(ints = {1, 5, 10, 20, 30, 40, 50, 60, 80, 100, 150, 200})
     void aJobInTheInboxRunsAlthoughTheOwnerEndsWhileItReadsTheInbox(int millis) {
-        SimulatedDaemon owner = owner();
-        SimulatedDaemon other = other();
-        owner.peerLink().setCut(other.name(), true);
-        other.peerLink().setCut(owner.name(), true);
-        submit(other);
+        mWorld.separate();
+        submit(mWorld.other());
         mWorld.run(millis);
-        owner.process().kill();
+        mWorld.owner().process().kill();
         mWorld.setWantedPools(OTHER_POOLS);
         assertRunsToItsEnd();
     }
@@ -105,19 +79,16 @@
     /** Guards against an owner that ends before it has recorded the queue of an accepted job. */
     @Test
     void aJobIsAcceptedOnlyOnceItsPoolKeepsAnOwner() {
-        submit(owner());
-        owner().process().kill();
+        submit(mWorld.owner());
+        mWorld.owner().process().kill();
         mWorld.setWantedPools(OTHER_POOLS);
         assertRunsToItsEnd();
     }
 
     @Test
     void theMarkOfAnInboxIsRemovedOnceItsOwnerHasReadIt() {
-        SimulatedDaemon owner = owner();
-        SimulatedDaemon other = other();
-        owner.peerLink().setCut(other.name(), true);
-        other.peerLink().setCut(owner.name(), true);
-        submit(other);
+        mWorld.separate();
+        submit(mWorld.other());
         assertThat(mWorld.store().read(INBOX).isPresent()).isTrue();
         mWorld.run(500);
         assertThat(mWorld.store().read(INBOX).isPresent()).isFalse();
--- a/daemon/src/test/java/org/endivetray/daemon/job/UnconfirmedJobsTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/UnconfirmedJobsTest.java
@@ -6,10 +6,9 @@
 import java.nio.charset.StandardCharsets;
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.daemon.job.virtual.Delays;
-import org.endivetray.daemon.job.virtual.WorkPlan;
+import org.endivetray.daemon.job.virtual.SteadyRuns;
 import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobAnswer.Verdict;
-import org.endivetray.job.TaskEnd;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -27,41 +26,11 @@
                     .getBytes(StandardCharsets.UTF_8);
     private static final long STEP_MILLIS = 10;
 
-    /** Runs go on until they are stopped. */
-    private static final class EndlessRuns implements WorkPlan {
-        @Override
-        public Outcome of(String task, int run) {
-            return new Outcome(0, TaskEnd.FAILED);
-        }
-
-        @Override
-        public boolean savesCheckpoints(String task) {
-            return false;
-        }
-    }
-
-    private final DaemonWorld mWorld = new DaemonWorld(new Delays(1, 0), new EndlessRuns());
+    private final DaemonWorld mWorld = new DaemonWorld(new Delays(1, 0), SteadyRuns.endless());
 
     @BeforeEach
     void startDaemons() {
-        mWorld.addMinion("m1");
-        mWorld.start("d1");
-        mWorld.start("d2");
-        mWorld.run(3_000);
-    }
-
-    private SimulatedDaemon owner() {
-        return mWorld.daemon(mWorld.daemon("d1").isOwner() ? "d1" : "d2");
-    }
-
-    private SimulatedDaemon other() {
-        return mWorld.daemon(mWorld.daemon("d1").isOwner() ? "d2" : "d1");
-    }
-
-    /** Lets two daemons no longer reach each other. */
-    private static void separate(SimulatedDaemon one, SimulatedDaemon another) {
-        one.peerLink().setCut(another.name(), true);
-        another.peerLink().setCut(one.name(), true);
+        mWorld.startTwoDaemons();
     }
 
     private static Future<JobAnswer> submit(SimulatedDaemon daemon) {
@@ -98,17 +67,17 @@
     @ValueSource(booleans = {true, false})
     void aJobThatIsCancelledWhileTheStoreIsDownNeverRuns(boolean pausesLeases) {
         mWorld.store().goDown(4_500, pausesLeases);
-        assertThat(verdictOf(submit(owner()))).isEqualTo(Verdict.UNKNOWN);
-        assertThat(cancel(other())).isIn(Verdict.OK, Verdict.NO_SUCH_JOB);
+        assertThat(verdictOf(submit(mWorld.owner()))).isEqualTo(Verdict.UNKNOWN);
+        assertThat(cancel(mWorld.other())).isIn(Verdict.OK, Verdict.NO_SUCH_JOB);
         assertNeverRuns();
     }
 
     @Test
     void aJobThatTheOwnerStoresLateAfterItsCancellationNeverRuns() {
-        owner().storeLink().delayNextWrite(JobKeys.jobs(DaemonWorld.POOL), 3_000);
-        Future<JobAnswer> submission = submit(owner());
+        mWorld.owner().storeLink().delayNextWrite(JobKeys.jobs(DaemonWorld.POOL), 3_000);
+        Future<JobAnswer> submission = submit(mWorld.owner());
         mWorld.run(100);
-        assertThat(cancel(other())).isEqualTo(Verdict.NO_SUCH_JOB);
+        assertThat(cancel(mWorld.other())).isEqualTo(Verdict.NO_SUCH_JOB);
         assertThat(verdictOf(submission)).isIn(Verdict.UNKNOWN, Verdict.REFUSED);
         assertNeverRuns();
     }
@@ -116,12 +85,11 @@
     /** Guards against a late write of a daemon that could not reach the owner. */
     @Test
     void aJobThatIsWrittenToTheInboxLateAfterItsCancellationNeverRuns() {
-        SimulatedDaemon owner = owner();
-        separate(owner, other());
-        other().storeLink().delayNextWrite(JobKeys.inboxJobs(DaemonWorld.POOL), 3_000);
-        Future<JobAnswer> submission = submit(other());
+        mWorld.separate();
+        mWorld.other().storeLink().delayNextWrite(JobKeys.inboxJobs(DaemonWorld.POOL), 3_000);
+        Future<JobAnswer> submission = submit(mWorld.other());
         mWorld.run(950);
-        assertThat(cancel(owner)).isEqualTo(Verdict.NO_SUCH_JOB);
+        assertThat(cancel(mWorld.owner())).isEqualTo(Verdict.NO_SUCH_JOB);
         assertThat(verdictOf(submission)).isIn(Verdict.UNKNOWN, Verdict.REFUSED);
         assertNeverRuns();
     }
@@ -129,44 +97,45 @@
     /** Guards against a repetition of a submission that arrives after its cancellation. */
     @Test
     void aSubmissionThatArrivesAfterItsCancellationIsRefused() {
-        assertThat(cancel(owner())).isEqualTo(Verdict.NO_SUCH_JOB);
-        assertThat(verdictOf(submit(owner()))).isEqualTo(Verdict.REFUSED);
-        assertThat(verdictOf(submit(other()))).isEqualTo(Verdict.REFUSED);
-        assertThat(verdictOf(owner().router().state(DaemonWorld.QUEUE, ID)))
+        assertThat(cancel(mWorld.owner())).isEqualTo(Verdict.NO_SUCH_JOB);
+        assertThat(verdictOf(submit(mWorld.owner()))).isEqualTo(Verdict.REFUSED);
+        assertThat(verdictOf(submit(mWorld.other()))).isEqualTo(Verdict.REFUSED);
+        assertThat(verdictOf(mWorld.owner().router().state(DaemonWorld.QUEUE, ID)))
                 .isEqualTo(Verdict.NO_SUCH_JOB);
-        assertThat(cancel(other())).isEqualTo(Verdict.NO_SUCH_JOB);
+        assertThat(cancel(mWorld.other())).isEqualTo(Verdict.NO_SUCH_JOB);
         assertNeverRuns();
     }
 
     /** Guards against an unknown outcome that is told as an absent job. */
     @Test
     void theStateOfAJobThatIsBeingStoredIsUnknown() {
-        owner().storeLink().delayNextWrite(JobKeys.jobs(DaemonWorld.POOL), 600);
-        Future<JobAnswer> submission = submit(owner());
+        mWorld.owner().storeLink().delayNextWrite(JobKeys.jobs(DaemonWorld.POOL), 600);
+        Future<JobAnswer> submission = submit(mWorld.owner());
         mWorld.run(100);
-        assertThat(verdictOf(other().router().state(DaemonWorld.QUEUE, ID)))
+        assertThat(verdictOf(mWorld.other().router().state(DaemonWorld.QUEUE, ID)))
                 .isEqualTo(Verdict.UNKNOWN);
         verdictOf(submission);
         mWorld.run(1_000);
-        assertThat(verdictOf(other().router().state(DaemonWorld.QUEUE, ID))).isEqualTo(Verdict.OK);
+        assertThat(verdictOf(mWorld.other().router().state(DaemonWorld.QUEUE, ID)))
+                .isEqualTo(Verdict.OK);
     }
 
     @Test
     void aCancellationOfAnAbsentJobIsForgottenAfterTheRetentionTime() {
-        assertThat(cancel(other())).isEqualTo(Verdict.NO_SUCH_JOB);
+        assertThat(cancel(mWorld.other())).isEqualTo(Verdict.NO_SUCH_JOB);
         assertThat(mWorld.store().read(JobKeys.location(ID)).isPresent()).isTrue();
         mWorld.run(200_000);
         assertThat(mWorld.store().read(JobKeys.location(ID)).isPresent()).isFalse();
         assertThat(mWorld.store().items(JobKeys.inboxCancellations(DaemonWorld.POOL), ""))
                 .isEmpty();
-        assertThat(verdictOf(submit(owner()))).isEqualTo(Verdict.OK);
+        assertThat(verdictOf(submit(mWorld.owner()))).isEqualTo(Verdict.OK);
     }
 
     @Test
     void theCancellationThatWasStoredForAnOwnerIsRemovedWithTheJob() {
-        assertThat(verdictOf(submit(owner()))).isEqualTo(Verdict.OK);
-        separate(owner(), other());
-        assertThat(cancel(other())).isEqualTo(Verdict.OK);
+        assertThat(verdictOf(submit(mWorld.owner()))).isEqualTo(Verdict.OK);
+        mWorld.separate();
+        assertThat(cancel(mWorld.other())).isEqualTo(Verdict.OK);
         assertThat(mWorld.store().items(JobKeys.inboxCancellations(DaemonWorld.POOL), ""))
                 .hasSize(1);
         mWorld.run(250_000);
--- a/daemon/src/test/java/org/endivetray/daemon/job/WholeDaemonTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/WholeDaemonTest.java
@@ -5,9 +5,8 @@
 import java.util.Random;
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.daemon.job.virtual.Delays;
-import org.endivetray.daemon.job.virtual.WorkPlan;
+import org.endivetray.daemon.job.virtual.SteadyRuns;
 import org.endivetray.job.JobState;
-import org.endivetray.job.TaskEnd;
 import org.endivetray.platform.VersionedValue;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -19,20 +18,7 @@
  * <p>This class is not thread-safe.
  */
 class WholeDaemonTest {
-    /** Every run is done after half a second. */
-    private static final class ShortRuns implements WorkPlan {
-        @Override
-        public Outcome of(String task, int run) {
-            return new Outcome(500, TaskEnd.DONE);
-        }
-
-        @Override
-        public boolean savesCheckpoints(String task) {
-            return false;
-        }
-    }
-
-    private final DaemonWorld mWorld = new DaemonWorld(new Delays(1, 0), new ShortRuns());
+    private final DaemonWorld mWorld = new DaemonWorld(new Delays(1, 0), SteadyRuns.doneAfter(500));
     private final CourseClients mClients = new CourseClients(mWorld, new Random(1), text -> {});
 
     /** Restarts a daemon whose registration as stopping is carried out late, without an answer. */
