Keep a change that cannot be encoded, or read, from taking others with it

Found by reading the diff: since a change is encoded when it is sent, one that is larger than the store accepts would have ended the sending of its batch, and with it the other changes of the batch; an unreadable location in a conflict would have done the same. Such a change is dropped and named in the log, as it was before when it was encoded on being queued; an unreadable location is no tombstone.

--- a/daemon/src/main/java/org/endivetray/daemon/job/record/StoredLocation.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/record/StoredLocation.java
@@ -1,5 +1,8 @@
 package org.endivetray.daemon.job.record;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import org.endivetray.EndivetrayException;
 import org.endivetray.platform.RecordCodec;
 import org.endivetray.platform.SharedStore;
 import org.endivetray.platform.SharedStore.Write;
@@ -21,6 +24,8 @@
  * @param pool name of the pool, empty for a tombstone, not null
  */
 public record StoredLocation(String pool) {
+    private static final Logger LOGGER = System.getLogger(StoredLocation.class.getName());
+
     /** The location of a job that is never accepted. */
     public static final StoredLocation TOMBSTONE = new StoredLocation("");
 
@@ -29,9 +34,17 @@
         return RecordCodec.decode(item.key(), item.value(), StoredLocation.class);
     }
 
-    /** Returns whether a record is a tombstone: the job was cancelled and is never accepted. */
+    /**
+     * Returns whether a record is a tombstone: the job was cancelled and is never accepted. One
+     * that cannot be read is none.
+     */
     public static boolean isTombstone(VersionedValue item) {
-        return item.isPresent() && decode(item).equals(TOMBSTONE);
+        try {
+            return item.isPresent() && decode(item).equals(TOMBSTONE);
+        } catch (EndivetrayException e) {
+            LOGGER.log(Level.ERROR, "state: unreadable record key={0} {1}", item.key(), e);
+            return false;
+        }
     }
 
     /**
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/BatchWriter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/BatchWriter.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.endivetray.EndivetrayException;
 import org.endivetray.daemon.job.SchedulerExecutor;
 import org.endivetray.platform.SharedStore;
 import org.endivetray.platform.SharedStore.Commit;
@@ -148,10 +149,12 @@
             if (isFull) {
                 continue;
             }
-            entries += size;
             iterator.remove();
-            batch.put(change.key(), change);
-            change.addTo(conditions, writes);
+            if (encode(change)) {
+                entries += size;
+                batch.put(change.key(), change);
+                change.addTo(conditions, writes);
+            }
         }
         mIsUrgent = isFull;
         if (batch.isEmpty()) {
@@ -164,6 +167,18 @@
                 (result, cause) -> onResult(result));
     }
 
+    /** Encodes a change, and returns false if that fails, in which case it is dropped. */
+    private static boolean encode(Change change) {
+        try {
+            change.encode();
+            return true;
+        } catch (EndivetrayException e) {
+            LOGGER.log(Level.ERROR, "journal: change dropped key={0} {1}", change.key(), e);
+            change.onFailed(CommitOutcome.NOT_DONE);
+            return false;
+        }
+    }
+
     /** Sends a batch of removals; a batch that fails is queued again first. */
     private void flushRemovals() {
         if (mRemovals.isEmpty()) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Change.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Change.java
@@ -31,7 +31,7 @@
     /** Written together with the key, null if nothing is; its key must not exist either. */
     private final Write mAlsoWritten;
 
-    /** The value that was sent last, null if none was. */
+    /** The value that is sent or was sent last, null if none was. */
     private byte[] mSentValue;
 
     /** Time of the monotonic clock before which it is not sent, in nanoseconds. */
@@ -148,9 +148,17 @@
         return 2 + mAlsoAbsent.size() + (mAlsoWritten == null ? 0 : 2);
     }
 
-    /** Adds the conditions and writes of the change to those of a commit. */
-    void addTo(List<Condition> conditions, List<Write> writes) {
+    /**
+     * Determines the value to send.
+     *
+     * @throws org.endivetray.EndivetrayException if it cannot be encoded
+     */
+    void encode() {
         mSentValue = mEncoder.get();
+    }
+
+    /** Adds the conditions and writes of the change, which was encoded, to those of a commit. */
+    void addTo(List<Condition> conditions, List<Write> writes) {
         conditions.add(new Condition(mKey, mVersion));
         otherKeys().forEach(key -> conditions.add(new Condition(key, SharedStore.ABSENT)));
         writes.add(new Write(mKey, mSentValue, SharedStore.NO_LEASE));
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/BatchWriterTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/BatchWriterTest.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.endivetray.EndivetrayException;
+import org.endivetray.ResultCode;
 import org.endivetray.daemon.job.virtual.VirtualExecutor;
 import org.endivetray.daemon.job.virtual.VirtualStore;
 import org.endivetray.platform.SharedStore.Condition;
@@ -102,4 +104,29 @@
         run(300);
         assertThat(done).containsExactly("stored");
     }
+
+    /** Guards against changes that are lost together with one that is too large to be stored. */
+    @Test
+    void aChangeThatCannotBeEncodedDoesNotHoldUpOthers() {
+        List<String> done = new ArrayList<>();
+        mWriter.add(change("before"), false);
+        mWriter.add(
+                Change.rewrite(
+                        "large",
+                        () -> {
+                            throw new EndivetrayException(
+                                    ResultCode.RECORD_TOO_LARGE, "larger than the store accepts");
+                        },
+                        0,
+                        version -> {}),
+                false);
+        mWriter.add(Change.rewrite("after", () -> new byte[] {1}, 0, version -> {}), false);
+        mWriter.afterStored(() -> done.add("stored"));
+        run(200);
+        assertThat(stored()).isEqualTo("before");
+        assertThat(mStore.get("after").isPresent()).isTrue();
+        assertThat(mStore.get("large").isPresent()).isFalse();
+        assertThat(done).containsExactly("stored");
+        assertThat(mWriter.isIdle()).isTrue();
+    }
 }
