Check the keys of client accounts and keep a job's account

Change: SiteConfig holds the client accounts (name, keys, priority, weight, cap). A call without a valid key on a queue that is not public is answered with 401 before its body is read; the key is checked again once the body has arrived. A configuration without accounts checks nothing. The account travels to the owner as an optional field of the job request and is stored behind the job's record as an extension, which daemons of earlier versions skip and leave in the store. An owner of an earlier version that stores the job itself stores no account.

--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -31,6 +31,7 @@
 import org.endivetray.daemon.job.watch.StoreWatch;
 import org.endivetray.daemon.observe.JobMetrics;
 import org.endivetray.daemon.observe.LogSetup;
+import org.endivetray.job.ClientAccounts;
 import org.endivetray.job.SiteConfig;
 import org.endivetray.platform.PlacementAdvisor;
 import org.endivetray.platform.site.SiteHttpServer;
@@ -216,7 +217,13 @@
                         mSettings.maxLeaseMillis(),
                         mSettings.stopMillis(),
                         mSettings.retentionMillis(),
-                        mWatchTiming));
+                        mWatchTiming),
+                this::accounts);
+    }
+
+    private ClientAccounts accounts() {
+        SiteConfig config = mSite.config();
+        return config == null ? ClientAccounts.NONE : config.accounts();
     }
 
     private boolean hasJobs(String pool) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/ownership/SiteWatch.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ownership/SiteWatch.java
@@ -95,10 +95,11 @@
         }
         LOGGER.log(
                 Level.INFO,
-                "config: in force version={0} queues={1} pools={2}",
+                "config: in force version={0} queues={1} pools={2} accounts={3}",
                 Long.toString(config.version()),
                 Integer.toString(config.queues().size()),
-                Integer.toString(config.pools().size()));
+                Integer.toString(config.pools().size()),
+                Integer.toString(config.accounts().byName().size()));
         mConfig = config;
     }
 
--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/JobFinder.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/JobFinder.java
@@ -35,7 +35,7 @@
     /** Passes requests to the owners of the pools' shards. */
     interface Owners {
         /** Returns the reply of the owner of the pool that the queue names. */
-        Future<OwnerReply> ask(JobAction action, QueueConfig queue, String id, byte[] body);
+        Future<OwnerReply> ask(JobAction action, QueueConfig queue, String id);
     }
 
     /** A request about a job, which is passed to the pool that the queue names. */
@@ -82,7 +82,7 @@
     }
 
     private Future<OwnerReply> ask(Request request) {
-        return mOwners.ask(request.action(), request.queue(), request.id(), JobRouter.NO_BODY);
+        return mOwners.ask(request.action(), request.queue(), request.id());
     }
 
     private Future<JobAnswer> askStore(Request request) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/JobMessages.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/JobMessages.java
@@ -1,6 +1,7 @@
 package org.endivetray.daemon.job.routing;
 
 import java.nio.ByteBuffer;
+import org.endivetray.job.ClientAccount;
 import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobState;
 import org.endivetray.job.QueueConfig;
@@ -19,7 +20,7 @@
     private JobMessages() {}
 
     static JobRequest request(
-            JobAction action, QueueConfig queue, String id, byte[] body, boolean mayForward) {
+            JobAction action, QueueConfig queue, String account, String id, byte[] body) {
         QueueTerms terms =
                 new QueueTerms(
                         queue.name(),
@@ -28,7 +29,9 @@
                         queue.stretch(),
                         queue.targetLatencyMillis(),
                         queue.placementAdvice());
-        return new JobRequest(action, queue.pool(), terms, id, ByteBuffer.wrap(body), mayForward);
+        JobRequest request =
+                new JobRequest(action, queue.pool(), terms, id, ByteBuffer.wrap(body), true);
+        return account.equals(ClientAccount.NONE) ? request : request.setAccount(account);
     }
 
     /**
@@ -49,12 +52,18 @@
                 terms.isPlacementAdvice());
     }
 
+    /** Returns the client account of a request; daemons of earlier versions send none. */
+    static String account(JobRequest request) {
+        return request.isSetAccount() ? request.getAccount() : ClientAccount.NONE;
+    }
+
     static JobReply reply(JobAnswer answer) {
         return new JobReply(
                 switch (answer.verdict()) {
                     case OK -> JobVerdict.OK;
                     case REFUSED -> JobVerdict.REFUSED;
-                    case MALFORMED -> JobVerdict.MALFORMED;
+                    // Keys are checked where the caller is connected; an owner never rejects one.
+                    case MALFORMED, UNAUTHORIZED -> JobVerdict.MALFORMED;
                     case NO_SUCH_JOB -> JobVerdict.NO_SUCH_JOB;
                     case UNKNOWN -> JobVerdict.UNKNOWN;
                 },
--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/JobRouter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/JobRouter.java
@@ -13,6 +13,7 @@
 import org.endivetray.daemon.job.ownership.OwnershipView;
 import org.endivetray.daemon.job.peer.PeerClient;
 import org.endivetray.daemon.observe.JobMetrics;
+import org.endivetray.job.ClientAccount;
 import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobAnswer.Verdict;
 import org.endivetray.job.JobSpec;
@@ -40,7 +41,7 @@
     private static final long OWNER_TIMEOUT_MILLIS = 900;
 
     private static final long RETRY_AFTER_MILLIS = 1_000;
-    static final byte[] NO_BODY = new byte[0];
+    private static final byte[] NO_BODY = new byte[0];
 
     private final Supplier<SiteConfig> mConfig;
     private final Supplier<OwnershipView> mView;
@@ -111,15 +112,19 @@
     }
 
     @Override
-    public QueueLookup queueAt(String host, String path) {
+    public QueueLookup queueAt(String host, String path, String key) {
         SiteConfig config = mConfig.get();
-        return config == null
-                ? new QueueLookup(false, null)
-                : new QueueLookup(true, config.queueAt(host, path).orElse(null));
+        if (config == null) {
+            return QueueLookup.notConfigured();
+        }
+        QueueConfig queue = config.queueAt(host, path).orElse(null);
+        return queue == null
+                ? QueueLookup.noQueue()
+                : QueueLookup.of(queue, config.accounts().admit(queue.name(), key));
     }
 
     @Override
-    public Future<JobAnswer> submit(QueueConfig queue, String id, byte[] body) {
+    public Future<JobAnswer> submit(QueueConfig queue, String account, String id, byte[] body) {
         JobSpec spec;
         try {
             spec = SiteCodec.decodeJob(body);
@@ -138,8 +143,8 @@
                     JobAnswer.unknown("neither the store nor another daemon answers"));
         }
         long start = System.nanoTime();
-        return ask(JobAction.SUBMIT, queue, id, body)
-                .compose(reply -> reply.orElse(() -> mFallback.submit(queue, id, spec)))
+        return ask(JobMessages.request(JobAction.SUBMIT, queue, account, id, body))
+                .compose(reply -> reply.orElse(() -> mFallback.submit(queue, account, id, spec)))
                 .onSuccess(answer -> log(JobAction.SUBMIT, queue, id, answer, start));
     }
 
@@ -160,7 +165,7 @@
                 Stream.concat(
                                 Stream.of(queue.pool()),
                                 mView.get().otherPoolsOf(queue.name(), queue.pool()).stream())
-                        .map(pool -> ask(JobAction.PENDING, queue.withPool(pool), "", NO_BODY))
+                        .map(pool -> ask(JobAction.PENDING, queue.withPool(pool), ""))
                         .toList();
         return Future.all(replies)
                 .map(ignored -> sumOfPending(queue, replies))
@@ -214,9 +219,12 @@
         }
     }
 
-    /** Passes a request to the owner of the pool that the queue names. */
-    private Future<OwnerReply> ask(JobAction action, QueueConfig queue, String id, byte[] body) {
-        JobRequest request = JobMessages.request(action, queue, id, body, true);
+    /** Passes a request without a body to the owner of the pool that the queue names. */
+    private Future<OwnerReply> ask(JobAction action, QueueConfig queue, String id) {
+        return ask(JobMessages.request(action, queue, ClientAccount.NONE, id, NO_BODY));
+    }
+
+    private Future<OwnerReply> ask(JobRequest request) {
         OwnershipView.DaemonRecord owner = mView.get().ownerOf(request.getPoolName()).orElse(null);
         if (owner == null || owner.name().equals(mName)) {
             return mLocal.handle(request).map(OwnerReply::ofReply);
--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/LocalShards.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/LocalShards.java
@@ -83,7 +83,10 @@
             return switch (request.getAction()) {
                 case SUBMIT ->
                         shard.submit(
-                                queue, request.getJobId(), SiteCodec.decodeJob(request.getBody()));
+                                queue,
+                                JobMessages.account(request),
+                                request.getJobId(),
+                                SiteCodec.decodeJob(request.getBody()));
                 case STATE -> shard.state(request.getJobId());
                 case CANCEL -> shard.cancel(request.getJobId());
                 case PENDING -> shard.pending(queue.name());
--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/StoreFallback.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/StoreFallback.java
@@ -43,9 +43,10 @@
      * Stores a job in the inbox of the pool's owner, unless it is stored already. The inbox is
      * marked in the same commit, so that the pool gets an owner whatever the configuration says.
      */
-    Future<JobAnswer> submit(QueueConfig queue, String id, JobSpec spec) {
+    Future<JobAnswer> submit(QueueConfig queue, String account, String id, JobSpec spec) {
         String key = JobKeys.inboxJobs(queue.pool()) + id;
-        StoredJob stored = new StoredJob(queue.pool(), queue, spec, System.currentTimeMillis());
+        StoredJob stored =
+                new StoredJob(queue.pool(), queue, spec, System.currentTimeMillis(), account);
         Commit commit =
                 new Commit(
                         List.of(
@@ -53,7 +54,7 @@
                                 new Condition(JobKeys.jobs(queue.pool()) + id, SharedStore.ABSENT),
                                 new Condition(JobKeys.location(id), SharedStore.ABSENT)),
                         List.of(
-                                new Write(key, RecordCodec.encode(stored), SharedStore.NO_LEASE),
+                                new Write(key, stored.encode(), SharedStore.NO_LEASE),
                                 StoredLocation.write(id, queue.pool()),
                                 new Write(
                                         JobKeys.INBOX_PREFIX + queue.pool(),
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
@@ -16,7 +16,6 @@
 import org.endivetray.job.JobSpec;
 import org.endivetray.job.JobState;
 import org.endivetray.job.QueueConfig;
-import org.endivetray.platform.RecordCodec;
 import org.endivetray.platform.SharedStore.CommitOutcome;
 import org.endivetray.platform.SharedStore.CommitResult;
 import org.endivetray.platform.VersionedValue;
@@ -87,7 +86,8 @@
     /**
      * Stores a job and answers once the outcome is known; a repeated submission adds no second job.
      */
-    void submit(QueueConfig queue, String id, JobSpec spec, Promise<JobAnswer> answer) {
+    void submit(
+            QueueConfig queue, String account, String id, JobSpec spec, Promise<JobAnswer> answer) {
         List<Promise<JobAnswer>> waiting = mPendingSubmissions.get(id);
         if (waiting != null) {
             waiting.add(answer);
@@ -107,8 +107,9 @@
                             RETRY_AFTER_OVERLOAD_MILLIS, "the shard has too many active jobs"));
             return;
         }
-        StoredJob stored = new StoredJob(mState.mPool, queue, spec, mExecutor.currentTimeMillis());
-        byte[] record = RecordCodec.encode(stored);
+        StoredJob stored =
+                new StoredJob(mState.mPool, queue, spec, mExecutor.currentTimeMillis(), account);
+        byte[] record = stored.encode();
         boolean hasRoom =
                 MemoryLimit.accepts(
                         spec.isScheduled(),
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -56,6 +56,7 @@
     private final MinionMonitor mMonitor;
     private final OccurrenceLoader mLoader;
     private final Dispatcher mDispatcher;
+    private final PoolLoadMeter mLoadMeter;
     private final CancellationCleaner mCancellations;
     private final JobRequestHandler mRequestHandler;
     private final InboxWatcher mInboxWatcher;
@@ -110,6 +111,7 @@
         mQueueRecord = new QueueRecord(mState, mWriter);
         mMonitor = new MinionMonitor(context, mState, mWriter, mLifecycle, onFenced);
         mDispatcher = new Dispatcher(context, mState, mLifecycle, durations);
+        mLoadMeter = new PoolLoadMeter(context, mState);
         mLoader = new OccurrenceLoader(mState, context.memory());
         mCancellations =
                 new CancellationCleaner(
@@ -321,16 +323,17 @@
      * Submits a job.
      *
      * @param queue the queue as it is configured now, not null
+     * @param account name of the client account, empty for none, not null
      * @param id id of the job, not null
      * @param spec what to run, not null
      * @return the answer; fails with {@link NotOwnerException} if the shard takes no requests
      */
-    public Future<JobAnswer> submit(QueueConfig queue, String id, JobSpec spec) {
+    public Future<JobAnswer> submit(QueueConfig queue, String account, String id, JobSpec spec) {
         if (!acceptsRequests()) {
             return Future.failedFuture(new NotOwnerException(pool()));
         }
         Promise<JobAnswer> answer = Promise.promise();
-        mRequestHandler.submit(queue, id, spec, answer);
+        mRequestHandler.submit(queue, account, id, spec, answer);
         mWriter.flush(mContext.executor().nanoTime());
         return answer.future();
     }
@@ -372,7 +375,7 @@
 
     /** Returns the load of the pool. */
     public PoolLoad poolLoad() {
-        return mDispatcher.poolLoad(mContext.executor().nanoTime());
+        return mLoadMeter.load(mContext.executor().nanoTime());
     }
 
     /**
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardContext.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardContext.java
@@ -1,8 +1,10 @@
 package org.endivetray.daemon.job.shard;
 
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.endivetray.daemon.job.SchedulerExecutor;
 import org.endivetray.daemon.observe.JobMetrics;
+import org.endivetray.job.ClientAccounts;
 import org.endivetray.platform.MinionOrders;
 import org.endivetray.platform.PlacementAdvisor;
 import org.endivetray.platform.SharedStore;
@@ -21,6 +23,7 @@
  * @param mayAct whether the daemon may start runs and extend their leases, not null
  * @param metrics counters and histograms, not null
  * @param limits time limits of the platform, not null
+ * @param accounts supplies the client accounts of the configuration in force, not null
  */
 public record ShardContext(
         SharedStore store,
@@ -30,4 +33,5 @@
         MemoryUse memory,
         BooleanSupplier mayAct,
         JobMetrics metrics,
-        ShardLimits limits) {}
+        ShardLimits limits,
+        Supplier<ClientAccounts> accounts) {}
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardLoader.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardLoader.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import org.endivetray.EndivetrayException;
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.daemon.job.record.StoredJob;
@@ -62,11 +63,16 @@
      * @param <T> the value's type
      */
     static <T> Optional<T> decode(VersionedValue item, Class<T> type) {
+        return decode(item, present -> RecordCodec.decode(present.key(), present.value(), type));
+    }
+
+    private static <T> Optional<T> decode(
+            VersionedValue item, Function<VersionedValue, T> decoder) {
         if (!item.isPresent()) {
             return Optional.empty();
         }
         try {
-            return Optional.of(RecordCodec.decode(item.key(), item.value(), type));
+            return Optional.of(decoder.apply(item));
         } catch (EndivetrayException e) {
             LOGGER.log(Level.ERROR, "state: ignored unreadable record key={0} {1}", item.key(), e);
             return Optional.empty();
@@ -81,7 +87,7 @@
      * @param nowNanos time of the monotonic clock, in nanoseconds
      */
     static Optional<JobEntry> decodeJob(VersionedValue item, String prefix, long nowNanos) {
-        return decode(item, StoredJob.class)
+        return decode(item, StoredJob::decode)
                 .map(
                         stored ->
                                 new JobEntry(
--- a/daemon/src/test/java/org/endivetray/daemon/job/CourseClients.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/CourseClients.java
@@ -144,7 +144,7 @@
         byte[] body = job.mBody.getBytes(StandardCharsets.UTF_8);
         call(
                 tries,
-                daemon -> daemon.router().submit(DaemonWorld.QUEUE, job.mId, body),
+                daemon -> daemon.router().submit(DaemonWorld.QUEUE, "", job.mId, body),
                 answer -> {
                     job.mIsAccepted |= answer.verdict() == Verdict.OK;
                     return job.mIsAccepted;
--- a/daemon/src/test/java/org/endivetray/daemon/job/ShardLifecycleTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/ShardLifecycleTest.java
@@ -16,6 +16,7 @@
 import org.endivetray.daemon.job.virtual.VirtualStore;
 import org.endivetray.daemon.job.watch.StoreWatch;
 import org.endivetray.daemon.observe.JobMetrics;
+import org.endivetray.job.ClientAccounts;
 import org.endivetray.job.MinionInfo;
 import org.endivetray.platform.MinionOrders;
 import org.junit.jupiter.api.Test;
@@ -46,7 +47,8 @@
                             new MemoryUse(),
                             () -> true,
                             new JobMetrics(),
-                            new ShardLimits(6_000, 100, 120_000, TIMING)),
+                            new ShardLimits(6_000, 100, 120_000, TIMING),
+                            () -> ClientAccounts.NONE),
                     mLocal,
                     null,
                     () -> null,
--- a/daemon/src/test/java/org/endivetray/daemon/job/SimulatedDaemon.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/SimulatedDaemon.java
@@ -23,6 +23,7 @@
 import org.endivetray.daemon.job.virtual.VirtualProcess;
 import org.endivetray.daemon.job.watch.StoreWatch;
 import org.endivetray.daemon.observe.JobMetrics;
+import org.endivetray.job.ClientAccounts;
 import org.endivetray.wire.gen.MinionGone;
 
 /**
@@ -90,7 +91,8 @@
                                 DaemonWorld.MAX_LEASE_MILLIS,
                                 PlatformMinions.STOP_MILLIS,
                                 RETENTION_MILLIS,
-                                timing));
+                                timing),
+                        () -> ClientAccounts.NONE);
         mShards = new ShardLifecycle(context, local, null, this::ownership, this::minions);
         mMinions =
                 new MinionDirectory(
--- a/daemon/src/test/java/org/endivetray/daemon/job/StoredJobsKeepAnOwnerTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/StoredJobsKeepAnOwnerTest.java
@@ -38,7 +38,7 @@
     }
 
     private void submit(SimulatedDaemon daemon) {
-        Future<JobAnswer> answer = daemon.router().submit(DaemonWorld.QUEUE, ID, BODY);
+        Future<JobAnswer> answer = daemon.router().submit(DaemonWorld.QUEUE, "", ID, BODY);
         for (int i = 0; i < 2_000 && !answer.isComplete(); i++) {
             mWorld.run(1);
         }
--- a/daemon/src/test/java/org/endivetray/daemon/job/UnconfirmedJobsTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/UnconfirmedJobsTest.java
@@ -34,7 +34,7 @@
     }
 
     private static Future<JobAnswer> submit(SimulatedDaemon daemon) {
-        return daemon.router().submit(DaemonWorld.QUEUE, ID, BODY);
+        return daemon.router().submit(DaemonWorld.QUEUE, "", ID, BODY);
     }
 
     private Verdict verdictOf(Future<JobAnswer> answer) {
--- a/daemon/src/test/java/org/endivetray/daemon/job/routing/JobRouterTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/routing/JobRouterTest.java
@@ -47,7 +47,7 @@
         assertThat(mRouter.isReady()).isTrue();
         mIsIsolated = true;
         assertThat(mRouter.isReady()).isFalse();
-        Future<JobAnswer> answer = mRouter.submit(QUEUE, ID, BODY);
+        Future<JobAnswer> answer = mRouter.submit(QUEUE, "", ID, BODY);
         assertThat(answer.result().verdict()).isEqualTo(Verdict.UNKNOWN);
         mExecutor.advance(5_000);
         assertThat(mStore.get("endivetray/pool/ice/deputy/job/" + ID).isPresent()).isFalse();
@@ -55,7 +55,7 @@
 
     @Test
     void aSubmissionWithoutAnOwnerIsAcceptedOnceItIsStored() {
-        Future<JobAnswer> answer = mRouter.submit(QUEUE, ID, BODY);
+        Future<JobAnswer> answer = mRouter.submit(QUEUE, "", ID, BODY);
         assertThat(answer.isComplete()).isFalse();
         mExecutor.advance(100);
         assertThat(answer.result().verdict()).isEqualTo(Verdict.OK);
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/GangTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/GangTest.java
@@ -110,7 +110,7 @@
                 new StoredJob(ShardHarness.POOL, ShardHarness.QUEUE, ShardHarness.job(gang()), 0);
         Map<String, StoredTask> tasks = Map.of("0.0.0", first, "0.0.1", second);
         StoredProgress progress = new StoredProgress(JobState.RUNNING, 0, tasks, 0, List.of());
-        mHarness.mStore.put(JobKeys.jobs(ShardHarness.POOL) + ID, RecordCodec.encode(job));
+        mHarness.mStore.put(JobKeys.jobs(ShardHarness.POOL) + ID, job.encode());
         mHarness.mStore.put(JobKeys.progress(ShardHarness.POOL) + ID, RecordCodec.encode(progress));
     }
 
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/QueueMoveTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/QueueMoveTest.java
@@ -15,6 +15,7 @@
 import org.endivetray.daemon.job.virtual.VirtualStore;
 import org.endivetray.daemon.job.watch.StoreWatch;
 import org.endivetray.daemon.observe.JobMetrics;
+import org.endivetray.job.ClientAccounts;
 import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobAnswer.Verdict;
 import org.endivetray.job.JobState;
@@ -88,7 +89,8 @@
                         new MemoryUse(),
                         () -> true,
                         new JobMetrics(),
-                        new ShardLimits(6_000, 100, 120_000, StoreWatch.Timing.ofSilence(3_000)));
+                        new ShardLimits(6_000, 100, 120_000, StoreWatch.Timing.ofSilence(3_000)),
+                        () -> ClientAccounts.NONE);
         mLocal.put(
                 new Shard(
                         context,
@@ -118,7 +120,7 @@
     }
 
     private void submit(String pool) {
-        assertThat(answer(mRouter.submit(queue(pool), ID, body(2))).verdict())
+        assertThat(answer(mRouter.submit(queue(pool), "", ID, body(2))).verdict())
                 .isEqualTo(Verdict.OK);
     }
 
@@ -163,8 +165,8 @@
     /** Guards against daemons of which one follows a change of the configuration sooner. */
     @Test
     void aJobThatIsSubmittedToTwoPoolsAtOnceRunsInOne() {
-        Future<JobAnswer> first = mRouter.submit(queue("alpha"), ID, body(2));
-        Future<JobAnswer> second = mRouter.submit(queue("beta"), ID, body(2));
+        Future<JobAnswer> first = mRouter.submit(queue("alpha"), "", ID, body(2));
+        Future<JobAnswer> second = mRouter.submit(queue("beta"), "", ID, body(2));
         run(5_000);
         assertThat(first.result().verdict()).isEqualTo(Verdict.OK);
         assertThat(second.result().verdict()).isEqualTo(Verdict.OK);
@@ -235,7 +237,7 @@
         mMinions.minion("m-beta").mIsUnreachable = true;
         run(1_500);
         submit("alpha");
-        Future<JobAnswer> other = mRouter.submit(queue("beta"), "00000000000000b2", body(1));
+        Future<JobAnswer> other = mRouter.submit(queue("beta"), "", "00000000000000b2", body(1));
         assertThat(answer(other).verdict()).isEqualTo(Verdict.OK);
         assertThat(answer(mRouter.pending(queue("beta"))).pending()).isEqualTo(2);
         assertThat(answer(mRouter.pending(queue("alpha"))).pending()).isEqualTo(2);
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ScheduledJobsTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ScheduledJobsTest.java
@@ -41,7 +41,7 @@
                         repetitions,
                         mHarness.mExecutor.currentTimeMillis() + delayMillis,
                         intervalMillis);
-        return shard.submit(ShardHarness.QUEUE, ShardHarness.id(number), spec);
+        return shard.submit(ShardHarness.QUEUE, "", ShardHarness.id(number), spec);
     }
 
     private static long usedHeapBytes() {
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
@@ -9,12 +9,12 @@
 import org.endivetray.daemon.job.virtual.VirtualStore;
 import org.endivetray.daemon.job.watch.StoreWatch;
 import org.endivetray.daemon.observe.JobMetrics;
+import org.endivetray.job.ClientAccounts;
 import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobSpec;
 import org.endivetray.job.MinionInfo;
 import org.endivetray.job.QueueConfig;
 import org.endivetray.job.StepSpec;
-import org.endivetray.platform.RecordCodec;
 import org.endivetray.platform.SharedStore.Condition;
 import org.endivetray.policy.job.DurationModel;
 
@@ -37,6 +37,10 @@
     final List<MinionInfo> mRegistered = new ArrayList<>();
     final MemoryUse mMemory = new MemoryUse();
     boolean mMayAct = true;
+
+    /** The client accounts of the configuration in force. */
+    ClientAccounts mAccounts = ClientAccounts.NONE;
+
     final List<Shard> mShards = new ArrayList<>();
 
     /** Adds a minion to the pool and registers it. */
@@ -71,7 +75,8 @@
                                 LEASE_MILLIS,
                                 STOP_MILLIS,
                                 120_000,
-                                StoreWatch.Timing.ofSilence(3_000)));
+                                StoreWatch.Timing.ofSilence(3_000)),
+                        () -> mAccounts);
         Shard shard =
                 new Shard(
                         context,
@@ -134,13 +139,13 @@
 
     /** Submits the job with a number to a shard. */
     Future<JobAnswer> submit(Shard shard, int number, StepSpec... steps) {
-        return shard.submit(QUEUE, id(number), job(steps));
+        return shard.submit(QUEUE, "", id(number), job(steps));
     }
 
     /** Stores a job in the inbox, as a daemon does that cannot reach the owner. */
     void storeInInbox(int number, StepSpec... steps) {
         mStore.put(
                 JobKeys.inboxJobs(POOL) + id(number),
-                RecordCodec.encode(new StoredJob(POOL, QUEUE, job(steps), 0)));
+                new StoredJob(POOL, QUEUE, job(steps), 0).encode());
     }
 }
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardTest.java
@@ -13,7 +13,6 @@
 import org.endivetray.job.JobState;
 import org.endivetray.job.StepSpec;
 import org.endivetray.job.TaskEnd;
-import org.endivetray.platform.RecordCodec;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -38,7 +37,7 @@
                         ShardHarness.QUEUE,
                         ShardHarness.job(ShardHarness.step(1)),
                         0);
-        String record = new String(RecordCodec.encode(job), StandardCharsets.UTF_8);
+        String record = new String(job.encode(), StandardCharsets.UTF_8);
         String damaged = record.replace("\"after\":[]", "\"after\":[" + number + "]");
         assertThat(damaged).isNotEqualTo(record);
         mHarness.mStore.put(
--- a/model/src/main/java/org/endivetray/job/JobAnswer.java
+++ b/model/src/main/java/org/endivetray/job/JobAnswer.java
@@ -24,6 +24,8 @@
         REFUSED,
         /** The request is malformed; it was not carried out and never will be. */
         MALFORMED,
+        /** The caller has no valid key for the queue; the request was not carried out. */
+        UNAUTHORIZED,
         /** The job does not exist. */
         NO_SUCH_JOB,
         /** The request may have been carried out; the caller must repeat it with the same id. */
@@ -71,6 +73,11 @@
         return new JobAnswer(Verdict.UNKNOWN, null, -1, 0, reason);
     }
 
+    /** Returns an answer to a request without a valid key. */
+    public static JobAnswer unauthorized() {
+        return new JobAnswer(Verdict.UNAUTHORIZED, null, -1, 0, "no valid key for this queue");
+    }
+
     /** Returns an answer to a malformed request. */
     public static JobAnswer malformed(String reason) {
         return new JobAnswer(Verdict.MALFORMED, null, -1, 0, reason);
--- a/model/src/main/java/org/endivetray/job/SiteConfig.java
+++ b/model/src/main/java/org/endivetray/job/SiteConfig.java
@@ -11,13 +11,20 @@
  * @param version version number, higher after each change
  * @param queues the queues, not null
  * @param pools the pools, not null
+ * @param accounts the client accounts, not null
  */
-public record SiteConfig(long version, List<QueueConfig> queues, List<PoolConfig> pools) {
+public record SiteConfig(
+        long version, List<QueueConfig> queues, List<PoolConfig> pools, ClientAccounts accounts) {
     public SiteConfig {
         queues = List.copyOf(queues);
         pools = List.copyOf(pools);
     }
 
+    /** Constructs a configuration without client accounts. */
+    public SiteConfig(long version, List<QueueConfig> queues, List<PoolConfig> pools) {
+        this(version, queues, pools, ClientAccounts.NONE);
+    }
+
     /**
      * Returns the queue whose prefix is the longest one that matches a path, or empty if none does.
      *
--- a/wire/src/gen-java/org/endivetray/wire/gen/JobRequest.java
+++ b/wire/src/gen-java/org/endivetray/wire/gen/JobRequest.java
@@ -19,6 +19,7 @@
   private static final org.apache.thrift.protocol.TField JOB_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("jobId", org.apache.thrift.protocol.TType.STRING, (short)4);
   private static final org.apache.thrift.protocol.TField BODY_FIELD_DESC = new org.apache.thrift.protocol.TField("body", org.apache.thrift.protocol.TType.STRING, (short)5);
   private static final org.apache.thrift.protocol.TField MAY_FORWARD_FIELD_DESC = new org.apache.thrift.protocol.TField("mayForward", org.apache.thrift.protocol.TType.BOOL, (short)6);
+  private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC = new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new JobRequestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new JobRequestTupleSchemeFactory();
@@ -29,6 +30,7 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String jobId; // required
   private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer body; // required
   private boolean mayForward; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String account; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -41,7 +43,8 @@
     TERMS((short)3, "terms"),
     JOB_ID((short)4, "jobId"),
     BODY((short)5, "body"),
-    MAY_FORWARD((short)6, "mayForward");
+    MAY_FORWARD((short)6, "mayForward"),
+    ACCOUNT((short)7, "account");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -69,6 +72,8 @@
           return BODY;
         case 6: // MAY_FORWARD
           return MAY_FORWARD;
+        case 7: // ACCOUNT
+          return ACCOUNT;
         default:
           return null;
       }
@@ -114,6 +119,7 @@
   // isset id assignments
   private static final int __MAYFORWARD_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.ACCOUNT};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -129,6 +135,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
     tmpMap.put(_Fields.MAY_FORWARD, new org.apache.thrift.meta_data.FieldMetaData("mayForward", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.ACCOUNT, new org.apache.thrift.meta_data.FieldMetaData("account", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(JobRequest.class, metaDataMap);
   }
@@ -175,6 +183,9 @@
       this.body = org.apache.thrift.TBaseHelper.copyBinary(other.body);
     }
     this.mayForward = other.mayForward;
+    if (other.isSetAccount()) {
+      this.account = other.account;
+    }
   }
 
   @Override
@@ -191,6 +202,7 @@
     this.body = null;
     setMayForwardIsSet(false);
     this.mayForward = false;
+    this.account = null;
   }
 
   /**
@@ -358,6 +370,31 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MAYFORWARD_ISSET_ID, value);
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getAccount() {
+    return this.account;
+  }
+
+  public JobRequest setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
+    this.account = account;
+    return this;
+  }
+
+  public void unsetAccount() {
+    this.account = null;
+  }
+
+  /** Returns true if field account is set (has been assigned a value) and false otherwise */
+  public boolean isSetAccount() {
+    return this.account != null;
+  }
+
+  public void setAccountIsSet(boolean value) {
+    if (!value) {
+      this.account = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -413,6 +450,14 @@
       }
       break;
 
+    case ACCOUNT:
+      if (value == null) {
+        unsetAccount();
+      } else {
+        setAccount((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -438,6 +483,9 @@
     case MAY_FORWARD:
       return isMayForward();
 
+    case ACCOUNT:
+      return getAccount();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -462,6 +510,8 @@
       return isSetBody();
     case MAY_FORWARD:
       return isSetMayForward();
+    case ACCOUNT:
+      return isSetAccount();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -533,6 +583,15 @@
         return false;
     }
 
+    boolean this_present_account = true && this.isSetAccount();
+    boolean that_present_account = true && that.isSetAccount();
+    if (this_present_account || that_present_account) {
+      if (!(this_present_account && that_present_account))
+        return false;
+      if (!this.account.equals(that.account))
+        return false;
+    }
+
     return true;
   }
 
@@ -562,6 +621,10 @@
 
     hashCode = hashCode * 8191 + ((mayForward) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
+    if (isSetAccount())
+      hashCode = hashCode * 8191 + account.hashCode();
+
     return hashCode;
   }
 
@@ -633,6 +696,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAccount()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -700,6 +773,16 @@
     sb.append("mayForward:");
     sb.append(this.mayForward);
     first = false;
+    if (isSetAccount()) {
+      if (!first) sb.append(", ");
+      sb.append("account:");
+      if (this.account == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.account);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -815,6 +898,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // ACCOUNT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.account = iprot.readString();
+              struct.setAccountIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -862,6 +953,13 @@
       oprot.writeFieldBegin(MAY_FORWARD_FIELD_DESC);
       oprot.writeBool(struct.mayForward);
       oprot.writeFieldEnd();
+      if (struct.account != null) {
+        if (struct.isSetAccount()) {
+          oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
+          oprot.writeString(struct.account);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -886,6 +984,14 @@
       oprot.writeString(struct.jobId);
       oprot.writeBinary(struct.body);
       oprot.writeBool(struct.mayForward);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetAccount()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetAccount()) {
+        oprot.writeString(struct.account);
+      }
     }
 
     @Override
@@ -904,6 +1010,11 @@
       struct.setBodyIsSet(true);
       struct.mayForward = iprot.readBool();
       struct.setMayForwardIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.account = iprot.readString();
+        struct.setAccountIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/thrift/inner.thrift
+++ b/wire/src/main/thrift/inner.thrift
@@ -90,6 +90,7 @@
   4: required string jobId
   5: required binary body
   6: required bool mayForward
+  7: optional string account
 }
 
 /** The outcome of a job request. */
