Soak: client accounts whose keys are revoked and whose caps are lowered

Cause: the soak had no client accounts, so nothing judged keys and caps while owners are killed, paused or cut off.

Change: kinds K (a key is revoked for longer than a daemon may take to learn of it) and Q (a cap is lowered far below what runs). Judged from callers and minions: ROUTE (an unknown key is served), CONFIG (a revoked key is served long after, or again by a process that has rejected it), QUOTA (a start above the highest cap that may be in force, its overage and one task). Soaks of other kinds have no accounts and draw as before.

--- a/proof/src/test/java/org/endivetray/proof/soak/Soak.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/Soak.java
@@ -58,7 +58,7 @@
      */
     Soak(Path root, Path folder, long seed, String kinds, long seconds, int gapMillis, int daemons)
             throws IOException {
-        mSite = new SoakSite(root, folder, daemons);
+        mSite = new SoakSite(root, folder, daemons, SoakFault.useAccounts(kinds));
         mSeed = seed;
         mKinds = kinds;
         mSeconds = seconds;
@@ -159,10 +159,14 @@
         String body = job.body().toString();
         for (int i = 0; i < TRIES && !mAccepted.containsKey(job.id()); i++) {
             SoakDaemon daemon = startedDaemon(random);
+            String key = mSite.accounts().anyKey(job.id(), random);
+            String process = daemon == null ? "" : daemon.process();
+            long sentMillis = System.currentTimeMillis();
             SoakDaemon.Answer answer =
                     daemon == null
                             ? new SoakDaemon.Answer(0, "")
-                            : daemon.send("POST", job.path(), body);
+                            : daemon.send("POST", job.path(), key, body);
+            mSite.accounts().judge(mSite.rules(), key, process, sentMillis, answer.status());
             mSite.record().add("POST " + job.path() + " -> " + answer.status());
             if (answer.isAccepted()) {
                 mAccepted.put(job.id(), job);
@@ -171,10 +175,14 @@
             }
         }
         if (mAccepted.containsKey(job.id()) && random.nextInt(15) == 0) {
-            startedDaemon(random).send("POST", job.path(), body);
+            startedDaemon(random).send("POST", job.path(), key(job), body);
         }
     }
 
+    private String key(SoakJob job) {
+        return mSite.accounts().validKey(job.id());
+    }
+
     /** Submits a job once and cancels it, often before the submission is answered. */
     private void submitAndCancel(SoakJob job, Random random) {
         mCancelled.add(job.id());
@@ -184,7 +192,8 @@
         }
         SoakRecord.spawn(
                 () -> {
-                    int status = daemon.send("POST", job.path(), job.body().toString()).status();
+                    String body = job.body().toString();
+                    int status = daemon.send("POST", job.path(), key(job), body).status();
                     mSite.record().add("POST " + job.path() + " -> " + status);
                 });
         SoakRecord.sleep(random.nextInt(random.nextBoolean() ? 60 : 1_500));
@@ -200,7 +209,8 @@
     /** Cancels a job, again and again until the answer is certain. */
     private void cancel(SoakJob job, Random random) {
         for (int i = 0; i < CANCEL_TRIES; i++) {
-            SoakDaemon.Answer answer = startedDaemon(random).send("DELETE", job.path(), null);
+            SoakDaemon.Answer answer =
+                    startedDaemon(random).send("DELETE", job.path(), key(job), null);
             mSite.record().add("DELETE " + job.path() + " -> " + answer.status());
             if (answer.isAccepted() || answer.status() == 410) {
                 mSite.rules().onCancelled(job.id());
@@ -248,6 +258,7 @@
      * that may have accepted it are idle.
      */
     private void awaitEnds() {
+        mSite.accounts().raiseCaps(mSite);
         long start = System.nanoTime();
         List<SoakJob> open = new ArrayList<>(mAccepted.values());
         open.removeIf(job -> mCancelled.contains(job.id()) || job.isLongRunning());
@@ -276,7 +287,7 @@
     }
 
     private boolean hasEnded(SoakJob job, Random random) {
-        SoakDaemon.Answer answer = startedDaemon(random).send("GET", job.path(), null);
+        SoakDaemon.Answer answer = startedDaemon(random).send("GET", job.path(), key(job), null);
         if (answer.status() == 410) {
             mSite.rules().breach("LOST", job.path() + " is not known");
             return true;
--- a/proof/src/test/java/org/endivetray/proof/soak/SoakDaemon.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/SoakDaemon.java
@@ -168,8 +168,13 @@
         return mProcess != null && mProcess.isAlive();
     }
 
-    /** Sends a request of a client. */
-    Answer send(String method, String path, String body) {
+    /** Returns the name of the daemon and the number of its present start. */
+    String process() {
+        return mName + "." + mStarts;
+    }
+
+    /** Sends a request of a client with a key, which is empty if there are no accounts. */
+    Answer send(String method, String path, String key, String body) {
         HttpRequest request =
                 HttpRequest.newBuilder(
                                 URI.create(
@@ -182,6 +187,7 @@
                         .header("Host", "yard.example")
                         .header("X-Endivetray-Request-Deadline", "" + CLIENT_TIMEOUT_MILLIS)
                         .header("Content-Type", "application/json")
+                        .header("Authorization", "Bearer " + key)
                         .method(
                                 method,
                                 body == null
--- a/proof/src/test/java/org/endivetray/proof/soak/SoakFault.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/SoakFault.java
@@ -296,6 +296,20 @@
             site.writeManifest();
         }
     },
+    /** Revokes a key of a client account, for a time; such a soak has client accounts. */
+    KEY_REVOKED('K') {
+        @Override
+        void run(SoakSite site, SoakDaemon daemon, Random random) {
+            SoakRecord.spawn(() -> site.accounts().revoke(site, random));
+        }
+    },
+    /** Lowers the cap of a client account, for a time; such a soak has client accounts. */
+    CAP_LOWERED('Q') {
+        @Override
+        void run(SoakSite site, SoakDaemon daemon, Random random) {
+            SoakRecord.spawn(() -> site.accounts().lower(site, random));
+        }
+    },
     /** Starts busy loops on the cores of the daemons. */
     BUSY('b') {
         @Override
@@ -327,6 +341,11 @@
         throw new IllegalArgumentException("no fault " + letter);
     }
 
+    /** Returns whether a soak of these kinds has client accounts. */
+    static boolean useAccounts(String kinds) {
+        return kinds.indexOf(KEY_REVOKED.mLetter) >= 0 || kinds.indexOf(CAP_LOWERED.mLetter) >= 0;
+    }
+
     /** Returns the daemon that a fault hits: the owner of a pool more often than another one. */
     static SoakDaemon choose(SoakSite site, Random random) {
         String pool = SoakSite.POOLS.get(random.nextInt(SoakSite.POOLS.size()));
--- a/proof/src/test/java/org/endivetray/proof/soak/SoakRules.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/SoakRules.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * Judges from what the minions and the clients see whether the rules hold: TWICE, LIMIT, UNASKED
- * and ORDER.
+ * Judges from what the minions and the clients see whether the rules hold: TWICE, LIMIT, UNASKED,
+ * ORDER and QUOTA.
  *
  * <p>Invariants: a breach that is reported breaks the rule as the platform states it; an end counts
  * as taken note of only if the minion's lease has not expired between the end and its
@@ -30,6 +30,7 @@
 
     private final SoakRecord mRecord;
     private final SoakStore mStore;
+    private final SoakAccounts mAccounts;
     private final Map<String, SoakJob> mJobs = new ConcurrentHashMap<>();
 
     /** Times at which cancellations were answered, in milliseconds since 1970, by job. */
@@ -49,9 +50,10 @@
     private final Map<String, Set<String>> mCheckpoints = new HashMap<>();
     private int mStarts;
 
-    SoakRules(SoakRecord record, SoakStore store) {
+    SoakRules(SoakRecord record, SoakStore store, SoakAccounts accounts) {
         mRecord = record;
         mStore = store;
+        mAccounts = accounts;
     }
 
     /** Called when the cancellation of a job was answered as carried out or not needed. */
@@ -149,6 +151,8 @@
                             + start);
         }
         others.add(minion);
+        String account = mAccounts.accountOf(job(task).id());
+        mAccounts.judgeStart(this, account, runningCpu(account), run.mStep.cpu());
         mLastStart.put(task, start);
         if (!run.mStep.isLongRunning()) {
             for (String end : mDone.getOrDefault(task, Set.of())) {
@@ -160,6 +164,15 @@
         }
     }
 
+    private int runningCpu(String account) {
+        int cpu = 0;
+        for (Map.Entry<String, Set<SoakMinion>> running : mRunning.entrySet()) {
+            boolean isOfAccount = mAccounts.accountOf(job(running.getKey()).id()).equals(account);
+            cpu += isOfAccount ? running.getValue().size() * step(running.getKey()).cpu() : 0;
+        }
+        return cpu;
+    }
+
     private void checkOrder(String task) {
         String[] parts = task.split("\\.");
         SoakJob job = job(task);
--- a/proof/src/test/java/org/endivetray/proof/soak/SoakSite.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/SoakSite.java
@@ -27,6 +27,7 @@
     private static final int RACKS = 3;
     private static final int CPU_MILLIS = 2_000;
 
+    private final SoakAccounts mAccounts;
     private final SoakRecord mRecord;
     private final SoakStore mStore;
     private final SoakRules mRules;
@@ -50,12 +51,14 @@
      * @param root the checkout whose built daemon is run, not null
      * @param folder for settings and logs, not null
      * @param daemons number of daemons
+     * @param hasAccounts whether callers need keys of client accounts
      */
-    SoakSite(Path root, Path folder, int daemons) throws IOException {
+    SoakSite(Path root, Path folder, int daemons, boolean hasAccounts) throws IOException {
         mFolder = folder;
+        mAccounts = new SoakAccounts(hasAccounts);
         mRecord = new SoakRecord(folder.resolve("record"));
         mStore = new SoakStore(mRecord);
-        mRules = new SoakRules(mRecord, mStore);
+        mRules = new SoakRules(mRecord, mStore, mAccounts);
         mWorkers = new SoakWorkers(this);
         for (int i = 1; i <= daemons; i++) {
             mDaemons.add(new SoakDaemon(this, root, i));
@@ -119,6 +122,7 @@
             addService(services, pool, false);
         }
         addService(services, SPARE_POOL, true);
+        mAccounts.addTo(manifest);
         manifest.putObject("limits").put("max_body_bytes", 262_144);
         mStore.put("op/config", manifest);
     }
@@ -147,6 +151,10 @@
         }
     }
 
+    SoakAccounts accounts() {
+        return mAccounts;
+    }
+
     SoakRecord record() {
         return mRecord;
     }
