--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/JobRouter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/JobRouter.java
@@ -5,6 +5,7 @@
 import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -50,6 +51,7 @@
     private final StoreFallback mFallback;
     private final JobFinder mFinder;
     private final JobMetrics mMetrics;
+    private final KeyRejections mRejections;
     private final String mName;
     private final PendingCounts mPendingCounts = new PendingCounts();
     private final BooleanSupplier mIsIsolated;
@@ -86,6 +88,7 @@
         mFinder = new JobFinder(config, view, mFallback, this::ask);
         mIsIsolated = isIsolated;
         mMetrics = metrics;
+        mRejections = new KeyRejections(metrics);
     }
 
     /** Sets whether this daemon can serve new connections. */
@@ -118,9 +121,15 @@
             return QueueLookup.notConfigured();
         }
         QueueConfig queue = config.queueAt(host, path).orElse(null);
-        return queue == null
-                ? QueueLookup.noQueue()
-                : QueueLookup.of(queue, config.accounts().admit(queue.name(), key));
+        if (queue == null) {
+            return QueueLookup.noQueue();
+        }
+        Optional<String> account = config.accounts().admit(queue.name(), key);
+        if (account.isEmpty()) {
+            mRejections.onRejected(
+                    queue.name(), !key.isEmpty(), config.version(), System.nanoTime());
+        }
+        return QueueLookup.of(queue, account);
     }
 
     @Override
--- a/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
@@ -25,6 +25,11 @@
                     "Answers to callers by action and verdict.",
                     "action",
                     "verdict");
+    private final Counter mRejectedKeys =
+            counter(
+                    "endivetray_rejected_keys",
+                    "Calls without a valid key of a client account.",
+                    "queue");
     private final Counter mStarts =
             counter("endivetray_task_starts", "Start orders by outcome.", "pool", "outcome");
     private final Counter mEnds =
@@ -74,6 +79,11 @@
         mAnswerTime.observe(nanos / 1e9);
     }
 
+    /** Records that a call of a queue was rejected for lack of a valid key. */
+    public void onRejectedKey(String queue) {
+        mRejectedKeys.labelValues(queue).inc();
+    }
+
     /** Records the outcome of a start order. */
     public void onStartOrder(String pool, String outcome) {
         mStarts.labelValues(pool, outcome).inc();
