Let a takeover wait only for tasks that a silent minion may run

Cause: a new owner held back every waiting task of the loaded jobs for the longest lease, 10.5 s, if one recorded minion did not answer, since it did not know what runs there; the next takeover began that wait anew. Change: the owner stores a minion that has not responded for 1 s (in a hand-over: any whose answer is overdue) as closed, with the names of the tasks that may run on it, and starts nothing there until it is stored as open again. The next owner holds back only those tasks.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionMonitor.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionMonitor.java
@@ -146,7 +146,7 @@
                 Long.toString(incarnationMillis),
                 isSame);
         if (isSame) {
-            mState.mUnreconciledMinions.remove(id);
+            mState.mInheritedRuns.onReconciled(id);
             mState.removeMinion(session);
             mState.mTerminatedMinions.put(
                     id, new TerminatedMinion(incarnationMillis, mContext.executor().nanoTime()));
@@ -181,7 +181,6 @@
 
     /** Renews the lease of a minion and requests a listing of its runs. */
     private void requestListing(MinionSession session, long nowNanos) {
-        session.mIsListing = true;
         boolean isFirst = !session.mIsResponding || !session.hasClock();
         boolean hasUnstored = session.mLastProcessedEnd > session.mLastStoredEnd;
         int wait = session.tasks().isEmpty() ? WAIT_IDLE_MILLIS : WAIT_BUSY_MILLIS;
@@ -194,6 +193,7 @@
                         || session.mayHaveTasksStartingUp(nowNanos);
         int longestWait = isUnsettled ? WAIT_UNSETTLED_MILLIS : wait;
         int waitMillis = isFirst || hasUnstored ? 0 : longestWait;
+        session.onListingRequested(waitMillis, nowNanos);
         long leaseMillis = mayExtend ? mContext.limits().maxLeaseMillis() : 0;
         mContext.executor()
                 .onComplete(
@@ -236,7 +236,7 @@
         mReconciler.onListed(session, listing, sentNanos);
         mThrottle.onListed(session, now);
         if (RunReconciler.isWhole(listing)) {
-            mState.mUnreconciledMinions.remove(session.id());
+            mState.mInheritedRuns.onReconciled(session.id());
         }
         mState.mNeedsDispatch |= wasFirst;
         scheduleNext(session, now);
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionRecord.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionRecord.java
@@ -1,66 +1,177 @@
 package org.endivetray.daemon.job.shard;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.daemon.job.record.StoredMinions;
-import org.endivetray.platform.RecordCodec;
+import org.endivetray.job.MinionInfo;
 
 /**
  * Stores the list of minions that may hold runs, from which the next owner knows which minions it
  * has to ask.
  *
- * <p>Invariants: a minion is in the stored list before its first start, and is removed from it once
- * nothing can run on it, so that the next owner does not wait for it.
+ * <p>A minion that does not answer is closed: it gets no tasks until it is stored as open again. So
+ * the next owner need not take any waiting task for one that the minion may run, only those that
+ * the list names.
+ *
+ * <p>Invariants: a minion is in the stored list as open before its first start, and is removed from
+ * it once nothing can run on it, so that the next owner does not wait for it; all runs that a
+ * closed minion may hold are of the tasks that the list names.
  *
  * <p>This class is not thread-safe; it belongs to the scheduler's thread.
  */
 final class MinionRecord {
+    /** Time without an answer after which a minion is closed, several slow round trips. */
+    private static final long CLOSE_AFTER_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** Time between two writes only to close minions; those of a rack fall silent together. */
+    private static final long CLOSE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private final ShardState mState;
     private final BatchWriter mWriter;
     private long mVersion;
-    private Set<String> mStoredIds = Set.of();
+    private Content mStored = new Content(Set.of(), Map.of());
+    private long mStoredNanos;
     private boolean mIsStoring;
 
+    /**
+     * What is stored.
+     *
+     * @param open ids of the open minions, not null
+     * @param closed names of the tasks that may have runs, by id of the closed minion, not null
+     */
+    private record Content(Set<String> open, Map<String, Set<String>> closed) {
+        Set<String> ids() {
+            Set<String> ids = new HashSet<>(open);
+            ids.addAll(closed.keySet());
+            return ids;
+        }
+
+        /** Returns whether this content allows all starts, and names all runs, that other does. */
+        boolean covers(Content other) {
+            return open.containsAll(other.open())
+                    && other.closed().keySet().stream()
+                            .allMatch(
+                                    id ->
+                                            open.contains(id)
+                                                    || closed.get(id)
+                                                            .containsAll(other.closed().get(id)));
+        }
+    }
+
     MinionRecord(ShardState state, BatchWriter writer) {
         mState = state;
         mWriter = writer;
     }
 
-    /** Records that the stored list has been loaded into the state of the shard. */
-    void onLoaded(long version) {
+    /**
+     * Records that the stored list has been loaded into the state of the shard.
+     *
+     * @param version version of the stored list
+     * @param nowNanos time of the monotonic clock, in nanoseconds
+     */
+    void onLoaded(long version, long nowNanos) {
         mVersion = version;
-        mStoredIds = Set.copyOf(mState.mMinions.keySet());
+        Set<String> open = new HashSet<>();
+        Map<String, Set<String>> closed = new HashMap<>();
+        for (String id : mState.mMinions.keySet()) {
+            mState.mInheritedRuns
+                    .tasksOn(id, nowNanos)
+                    .ifPresentOrElse(tasks -> closed.put(id, tasks), () -> open.add(id));
+        }
+        mStored = new Content(open, closed);
     }
 
-    /** Stores the list if it has changed, or if a minion needs a higher token. */
-    void store() {
-        boolean isStored = mStoredIds.equals(mState.mMinions.keySet());
-        if (mIsStoring || isStored && !mState.mNeedsToken) {
+    /**
+     * Stores the list if it has changed, or if a minion needs a higher token.
+     *
+     * @param nowNanos time of the monotonic clock, in nanoseconds
+     * @param isHandingOver whether nothing more is started, so that every minion may be closed
+     */
+    void store(long nowNanos, boolean isHandingOver) {
+        if (mIsStoring) {
+            return;
+        }
+        Content content = content(nowNanos, isHandingOver);
+        boolean mayClose = isHandingOver || nowNanos - mStoredNanos >= CLOSE_INTERVAL_NANOS;
+        boolean isStored =
+                mStored.ids().equals(content.ids())
+                        && mStored.covers(content)
+                        && (!mayClose || mStored.open().equals(content.open()));
+        if (isStored && !mState.mNeedsToken) {
             return;
         }
         mState.mNeedsToken = false;
-        StoredMinions record =
-                new StoredMinions(
-                        mState.mMinions.values().stream().map(MinionSession::info).toList());
-        Set<String> ids = Set.copyOf(mState.mMinions.keySet());
         mIsStoring = true;
+        mStoredNanos = nowNanos;
+        content.closed().keySet().forEach(id -> mState.mMinions.get(id).mIsRecorded = false);
+        byte[] record = encode(content);
         mWriter.add(
                 Change.rewrite(
                         JobKeys.minions(mState.mPool),
-                        () -> RecordCodec.encode(record),
+                        () -> record,
                         mVersion,
-                        version -> onStored(ids, version)),
+                        version -> onStored(content, version)),
                 true);
     }
 
-    private void onStored(Set<String> ids, long version) {
+    private byte[] encode(Content content) {
+        List<MinionInfo> open = new ArrayList<>();
+        List<StoredMinions.Closed> closed = new ArrayList<>();
+        for (MinionSession session : mState.mMinions.values()) {
+            if (content.open().contains(session.id())) {
+                open.add(session.info());
+            } else {
+                closed.add(
+                        new StoredMinions.Closed(
+                                session.info(), content.closed().get(session.id())));
+            }
+        }
+        return new StoredMinions(open, closed).encode();
+    }
+
+    private Content content(long nowNanos, boolean isHandingOver) {
+        Set<String> open = new HashSet<>();
+        Map<String, Set<String>> closed = new HashMap<>();
+        for (MinionSession session : mState.mMinions.values()) {
+            boolean isClosed =
+                    mStored.closed().containsKey(session.id()) && !session.mIsResponding
+                            || session.isSilent(nowNanos, CLOSE_AFTER_NANOS)
+                            || isHandingOver && !session.isAnswering(nowNanos);
+            Optional<Set<String>> tasks =
+                    isClosed ? possibleTasks(session, nowNanos) : Optional.empty();
+            tasks.ifPresentOrElse(
+                    names -> closed.put(session.id(), names), () -> open.add(session.id()));
+        }
+        return new Content(open, closed);
+    }
+
+    /** Returns the tasks that may have runs on a minion, empty if it may be any task. */
+    private Optional<Set<String>> possibleTasks(MinionSession session, long nowNanos) {
+        return mState.mInheritedRuns
+                .tasksOn(session.id(), nowNanos)
+                .map(
+                        inherited -> {
+                            Set<String> names = new HashSet<>(inherited);
+                            names.addAll(session.tasks().keySet());
+                            names.addAll(session.orphans());
+                            return names;
+                        });
+    }
+
+    private void onStored(Content content, long version) {
         mVersion = version;
         mIsStoring = false;
-        mStoredIds = ids;
+        mStored = content;
         // A minion may have left and returned meanwhile, so its present session is marked.
-        for (MinionSession session : List.copyOf(mState.mMinions.values())) {
-            session.mIsRecorded |= ids.contains(session.id());
+        for (MinionSession session : mState.mMinions.values()) {
+            session.mIsRecorded |= content.open().contains(session.id());
         }
         mState.mNeedsDispatch = true;
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
@@ -1,10 +1,12 @@
 package org.endivetray.daemon.job.shard;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.endivetray.job.MinionInfo;
 import org.endivetray.job.StepSpec;
@@ -33,6 +35,9 @@
      */
     private static final long LEASE_MARGIN_MILLIS = 100;
 
+    /** Time in which a minion answers once it no longer waits, several round trips. */
+    private static final long ANSWER_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
     /** Tokens of the orders to this minion. */
     final IncarnationFence mFence = new IncarnationFence();
 
@@ -50,12 +55,16 @@
     /** Runs that are no current run of a task and are being stopped, as listed last. */
     private final List<StepSpec> mOrphans = new ArrayList<>();
 
+    /** Names of the tasks of these runs. */
+    private final Set<String> mOrphanTasks = new HashSet<>();
+
     /** Whether a run of an unknown job was listed last, of which the needs are not known. */
     private boolean mHasUnknownOrphan;
 
     boolean mIsRegistered = true;
     long mUnregisteredNanos;
     boolean mIsListing;
+    private long mAnswerDueNanos;
 
     /** Whether the latest request for a listing was answered by the known incarnation. */
     boolean mIsResponding;
@@ -105,6 +114,24 @@
         return mTasks;
     }
 
+    /** Records that a listing was requested for which the minion may wait before it answers. */
+    void onListingRequested(int waitMillis, long nowNanos) {
+        mIsListing = true;
+        mAnswerDueNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(waitMillis) + ANSWER_NANOS;
+    }
+
+    /** Returns whether the minion has answered last and its next answer is not overdue. */
+    boolean isAnswering(long nowNanos) {
+        return mIsResponding && (!mIsListing || nowNanos - mAnswerDueNanos < 0);
+    }
+
+    /** Returns whether the minion has not responded for a time, in nanoseconds. */
+    boolean isSilent(long nowNanos, long forNanos) {
+        return !mIsResponding
+                && mUnresponsiveSinceNanos != 0
+                && nowNanos - mUnresponsiveSinceNanos >= forNanos;
+    }
+
     /** Returns whether a run on the minion is being stopped. */
     boolean isStopping() {
         return hasOrphans()
@@ -160,15 +187,22 @@
     /** Forgets the runs without a task that an earlier listing has named. */
     void clearOrphans() {
         mOrphans.clear();
+        mOrphanTasks.clear();
         mHasUnknownOrphan = false;
     }
 
-    /** Counts a listed run that is no current run of a task; empty needs are not known. */
-    void addOrphan(Optional<StepSpec> needs) {
+    /** Counts a listed run that is no current run of its task; empty needs are not known. */
+    void addOrphan(String task, Optional<StepSpec> needs) {
+        mOrphanTasks.add(task);
         needs.ifPresent(mOrphans::add);
         mHasUnknownOrphan |= needs.isEmpty();
     }
 
+    /** Returns the names of the tasks whose listed runs are no current ones. */
+    Set<String> orphans() {
+        return mOrphanTasks;
+    }
+
     private boolean hasOrphans() {
         return mHasUnknownOrphan || !mOrphans.isEmpty();
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -217,7 +217,7 @@
             return;
         }
         mMonitor.tick(nowNanos);
-        mMinionRecord.store();
+        mMinionRecord.store(nowNanos, mIsHandingOver);
         mQueueRecord.store();
         mInboxMark.tick(nowNanos);
         mDrainer.tick(nowNanos);
@@ -266,9 +266,9 @@
         }
         long longest = mContext.limits().maxLeaseMillis();
         long bound = Math.round(longest * (1 + MinionSession.CLOCK_DRIFT)) + LEASE_MARGIN_MILLIS;
-        mState.mInheritedLeaseEndNanos = now + TimeUnit.MILLISECONDS.toNanos(bound);
+        mState.mInheritedRuns.setLeaseEnd(now + TimeUnit.MILLISECONDS.toNanos(bound));
         loaded.restoreTo(mState, now);
-        mMinionRecord.onLoaded(loaded.minions().version());
+        mMinionRecord.onLoaded(loaded.minions().version(), now);
         mInboxMark.onLoaded(loaded.inboxMark());
         mQueueRecord.onLoaded(loaded.queues(), mContext.executor().currentTimeMillis());
         mPhase = Phase.ADOPTING;
@@ -294,16 +294,17 @@
         if (mPhase != Phase.ADOPTING) {
             return;
         }
-        if (mState.mUnreconciledMinions.isEmpty()
+        if (mState.mInheritedRuns.isReconciled()
                 || nowNanos - mLoadedNanos >= ADOPT_TIMEOUT_NANOS) {
             mPhase = Phase.ACTIVE;
             mState.mNeedsDispatch = true;
             LOGGER.log(
                     Level.INFO,
-                    "shard: active pool={0} token={1} unanswered={2}",
+                    "shard: active pool={0} token={1} unanswered={2} closed={3}",
                     pool(),
                     Long.toString(token()),
-                    mState.mUnreconciledMinions);
+                    mState.mInheritedRuns.openMinions(),
+                    mState.mInheritedRuns.closedMinions());
         }
     }
 
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardLoader.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardLoader.java
@@ -145,14 +145,8 @@
                 entry.mIsInherited = true;
                 state.add(entry);
             }
-            decode(minions, StoredMinions.class)
-                    .ifPresent(
-                            stored ->
-                                    stored.minions()
-                                            .forEach(
-                                                    info ->
-                                                            state.addInheritedMinion(
-                                                                    info, nowNanos)));
+            decode(minions, StoredMinions::decode)
+                    .ifPresent(stored -> state.addInheritedMinions(stored, nowNanos));
         }
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardState.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardState.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.endivetray.daemon.job.record.StoredMinions;
 import org.endivetray.job.MinionInfo;
 import org.endivetray.job.StepSpec;
 import org.endivetray.job.TaskId;
@@ -25,14 +26,11 @@
     /** Ids of the jobs whose cancellation was read from the inbox before the job was known. */
     final Set<String> mEarlyCancellations = new HashSet<>();
 
-    /** Minions that may run tasks of an earlier owner and have not answered this owner yet. */
-    final Set<String> mUnreconciledMinions = new HashSet<>();
-
     /**
-     * Time after which no lease that an earlier owner has extended can be in force. It must be set
-     * before minions are added.
+     * Runs of earlier owners that are not known yet. The end of their leases must be set before
+     * minions are added.
      */
-    long mInheritedLeaseEndNanos;
+    final InheritedRuns mInheritedRuns = new InheritedRuns();
 
     /** Minions that were terminated by order; their registrations may remain for a time. */
     final Map<String, TerminatedMinion> mTerminatedMinions = new HashMap<>();
@@ -166,14 +164,24 @@
         mNeedsDispatch = true;
     }
 
-    /** Adds a minion that may run tasks of an earlier owner. */
-    void addInheritedMinion(MinionInfo info, long nowNanos) {
+    /** Adds the minions that may run tasks of an earlier owner. */
+    void addInheritedMinions(StoredMinions stored, long nowNanos) {
+        for (MinionInfo info : stored.open()) {
+            addInheritedMinion(info, nowNanos).mIsRecorded = true;
+            mInheritedRuns.addOpen(info.id());
+        }
+        for (StoredMinions.Closed closed : stored.closed()) {
+            addInheritedMinion(closed.info(), nowNanos);
+            mInheritedRuns.addClosed(closed.info().id(), closed.tasks());
+        }
+    }
+
+    private MinionSession addInheritedMinion(MinionInfo info, long nowNanos) {
         MinionSession session = addMinion(info);
-        session.mIsRecorded = true;
         session.mIsRegistered = false;
         session.mUnregisteredNanos = nowNanos;
-        session.inheritLease(mInheritedLeaseEndNanos);
-        mUnreconciledMinions.add(info.id());
+        session.inheritLease(mInheritedRuns.leaseEndNanos());
+        return session;
     }
 
     /** Adds a minion, which may be a later incarnation of one that was removed. */
@@ -200,9 +208,7 @@
 
     /** Returns whether a task may have a run of an earlier owner that this owner does not know. */
     boolean mayHaveUnseenRun(TaskEntry task, long nowNanos) {
-        return task.mStep.mJob.mIsInherited
-                && !mUnreconciledMinions.isEmpty()
-                && nowNanos - mInheritedLeaseEndNanos < 0;
+        return task.mStep.mJob.mIsInherited && mInheritedRuns.mayInclude(task.mName, nowNanos);
     }
 
     /**
--- a/model/src/main/java/org/endivetray/job/MinionInfo.java
+++ b/model/src/main/java/org/endivetray/job/MinionInfo.java
@@ -35,6 +35,22 @@
         labels = List.copyOf(labels);
     }
 
+    /** Returns a copy with another id. */
+    public MinionInfo withId(String other) {
+        return new MinionInfo(
+                other,
+                pool,
+                host,
+                port,
+                zone,
+                draining,
+                cpuMillis,
+                memoryMb,
+                gpus,
+                labels,
+                bornMillis);
+    }
+
     /** Returns the name of its rack, empty if not known. */
     public String rack() {
         return labels.size() > 1 ? labels.get(1) : "";
