Make calls again that a silent store has lost, as soon as it answers

Cause: after an outage without answers, calls that were sent into it waited for their time limit of 0.9 s: submissions at the owner, lease renewals, claims. Change: the first answer after an outage makes the calls that have waited for 0.2 s and more be made again. A commit that is made again and conflicts may conflict with itself; its outcome is unknown.

--- a/daemon/src/main/java/org/endivetray/daemon/job/relay/RelayingStore.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/relay/RelayingStore.java
@@ -37,10 +37,14 @@
     /** Time limit of a call through a peer; the store and a peer usually take milliseconds. */
     private static final long RELAY_TIMEOUT_MILLIS = 500;
 
+    private static final CommitResult UNKNOWN =
+            new CommitResult(CommitOutcome.UNKNOWN, 0, List.of());
+
     private final SharedStore mDirect;
     private final StorePeers mPeers;
     private final LongSupplier mNanoTime;
     private final StorePath mPath = new StorePath();
+    private final DirectCalls mDirectCalls;
     private volatile boolean mIsRelayUnanswered;
     private final Set<Promise<?>> mDirectWatches = ConcurrentHashMap.newKeySet();
     private final Set<Promise<?>> mRelayedWatches = ConcurrentHashMap.newKeySet();
@@ -56,6 +60,7 @@
         mDirect = direct;
         mPeers = peers;
         mNanoTime = nanoTime;
+        mDirectCalls = new DirectCalls(nanoTime);
     }
 
     /** Returns the store as this daemon reaches it. */
@@ -153,11 +158,18 @@
                     .compose(
                             reply ->
                                     reply.getStatus() == StoreStatus.NOT_REACHED
-                                            ? mDirect.commit(commit).onSuccess(this::onCommitted)
+                                            ? commitDirectly(commit).onSuccess(this::onCommitted)
                                             : Future.succeededFuture(
                                                     StoreMessages.commitResult(reply)));
         }
-        return mDirect.commit(commit).compose(result -> afterDirect(call, result));
+        return commitDirectly(commit).compose(result -> afterDirect(call, result));
+    }
+
+    /** Makes a commit; one that is given up is made again, and may be in conflict with itself. */
+    private Future<CommitResult> commitDirectly(Commit commit) {
+        return mDirectCalls.make(
+                () -> mDirect.commit(commit),
+                () -> mDirect.commit(commit).map(again -> merge(UNKNOWN, again)));
     }
 
     private void onCommitted(CommitResult direct) {
@@ -178,13 +190,13 @@
                 .map(reply -> merge(direct, StoreMessages.commitResult(reply)));
     }
 
-    /** Returns the result of a commit that was tried directly and then through a peer. */
-    private static CommitResult merge(CommitResult direct, CommitResult relayed) {
+    /** Returns the result of a commit that was tried directly and then again. */
+    private static CommitResult merge(CommitResult direct, CommitResult again) {
         boolean isCertain =
-                relayed.isDone()
+                again.isDone()
                         || direct.outcome() == CommitOutcome.NOT_DONE
-                        || relayed.outcome() == CommitOutcome.NO_SUCH_LEASE;
-        return isCertain ? relayed : new CommitResult(CommitOutcome.UNKNOWN, 0, List.of());
+                        || again.outcome() == CommitOutcome.NO_SUCH_LEASE;
+        return isCertain ? again : UNKNOWN;
     }
 
     @Override
@@ -218,10 +230,13 @@
                     .compose(
                             reply ->
                                     reply.getStatus() == StoreStatus.NOT_REACHED
-                                            ? direct.get().onSuccess(ignored -> onAnswered())
+                                            ? mDirectCalls
+                                                    .make(direct, direct)
+                                                    .onSuccess(ignored -> onAnswered())
                                             : decode(reply, decoder));
         }
-        return direct.get()
+        return mDirectCalls
+                .make(direct, direct)
                 .onSuccess(ignored -> onAnswered())
                 .recover(
                         cause -> {
@@ -254,6 +269,7 @@
         if (!wasUsable) {
             LOGGER.log(Level.INFO, "state: the store answers this daemon again");
             abandon(mRelayedWatches);
+            mDirectCalls.giveUpOverdue();
         }
     }
 
--- a/daemon/src/test/java/org/endivetray/daemon/job/relay/RelayingStoreTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/relay/RelayingStoreTest.java
@@ -285,6 +285,46 @@
         assertThat(cut.mRelaying.isIsolated()).isFalse();
     }
 
+    /** Guards against calls that wait for their time limits after an outage that has ended. */
+    @Test
+    void callsThatASilentStoreHasLostAreMadeAgainAsSoonAsItAnswers() {
+        Daemon daemon = start("a");
+        start("b").mDirect.mPath = Path.SILENT;
+        mExecutor.advance(1_500);
+        daemon.mDirect.mPath = Path.SILENT;
+        mExecutor.advance(2_300);
+        Future<CommitResult> commit = daemon.mRelaying.commit(creation("x"));
+        mExecutor.advance(50);
+        Future<Boolean> renewal = daemon.mRelaying.renewLease(1);
+        mExecutor.advance(250);
+        assertThat(commit.isComplete()).isFalse();
+        assertThat(renewal.isComplete()).isFalse();
+        daemon.mDirect.mPath = Path.UP;
+        while (!daemon.mRelaying.isReachable()) {
+            mExecutor.advance(TICK_MILLIS);
+        }
+        assertThat(resultOf(commit, 50).outcome()).isEqualTo(CommitOutcome.DONE);
+        assertThat(resultOf(renewal, 0)).isTrue();
+    }
+
+    /** Guards against a commit that is reported as not made because of its own repetition. */
+    @Test
+    void aCommitThatIsMadeAgainIsNotInConflictWithItself() {
+        Daemon daemon = start("a");
+        mExecutor.advance(1_500);
+        daemon.mDirect.mPath = Path.SILENT;
+        mExecutor.advance(2_300);
+        daemon.mDirect.mPath = Path.ANSWERS_LOST;
+        Future<CommitResult> commit = daemon.mRelaying.commit(creation("x"));
+        mExecutor.advance(300);
+        assertThat(mStore.get(KEY).isPresent()).isTrue();
+        daemon.mDirect.mPath = Path.UP;
+        while (!daemon.mRelaying.isReachable()) {
+            mExecutor.advance(TICK_MILLIS);
+        }
+        assertThat(resultOf(commit, 50).outcome()).isEqualTo(CommitOutcome.UNKNOWN);
+    }
+
     @Test
     void callsAreMadeDirectlyAgainOnceTheStoreAnswers() {
         Daemon cut = start("a");
