Claim former shards at once and release none during an outage

Change: a daemon claims the shards that it lost without a successor as soon as it is registered again, only if their owner key is absent. A daemon that stops while the store is away goes on with its shards until the store is back, since nobody could claim them. OwnershipManagerTest: three tests added; on the code before the one of the expired leases is red, the one of the stop is red (there stop() released nothing by itself), the one that guards a successor is green.

--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -310,11 +310,7 @@
         LOGGER.log(Level.INFO, "daemon: stopping name={0}", mSettings.name());
         long start = System.nanoTime();
         mRouter.markStopping();
-        mExecutor.execute(
-                () -> {
-                    mOwnership.stop();
-                    mOwnership.ownedShards().forEach(mOwnership::release);
-                });
+        mExecutor.execute(mOwnership::stop);
         long latest =
                 start + TimeUnit.MILLISECONDS.toNanos(mSettings.graceMillis() - EXIT_MARGIN_MILLIS);
         long earliest = start + TimeUnit.MILLISECONDS.toNanos(LOAD_BALANCER_MILLIS);
--- a/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipManager.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ownership/OwnershipManager.java
@@ -63,10 +63,12 @@
     /** Tokens of all acquisitions so far; a shard is not acquired twice under the same token. */
     private final Set<Long> mUsedTokens = new HashSet<>();
 
+    private final FormerShards mFormer = new FormerShards();
     private Set<String> mWanted = Set.of();
     private String mLastReleased = "";
     private final OwnershipView.DaemonRecord mSelf;
     private final DaemonLease mLease;
+    private final BooleanSupplier mIsStoreAway;
     private long mOverloadedNanos;
 
     /** Receives a call when a shard is acquired, lost or to be released. */
@@ -107,6 +109,7 @@
         mExecutor = executor;
         mWatch = watch;
         mSelf = self;
+        mIsStoreAway = isStoreAway;
         mLease = new DaemonLease(store, executor, self, isStoreAway, this::onLeaseLost);
         mSettleNanos = TimeUnit.MILLISECONDS.toNanos(settleMillis);
         mListener = listener;
@@ -154,9 +157,19 @@
         return Set.copyOf(mTokens.keySet());
     }
 
-    /** Announces that this daemon is stopping, so that other daemons claim its shards. */
+    /**
+     * Announces that this daemon is stopping and releases its shards, so that other daemons claim
+     * them. While the store is away no other daemon could, so they are released when it is back.
+     */
     public void stop() {
         mLease.announceStop();
+        releaseAll();
+    }
+
+    private void releaseAll() {
+        if (!mIsStoreAway.getAsBoolean()) {
+            ownedShards().forEach(this::release);
+        }
     }
 
     /**
@@ -169,10 +182,15 @@
         mLease.verifyRegistration(mWatch.view());
         mLease.tick(nowNanos);
         reconcile();
-        if (!mLease.isRegistered() || mLease.isStopping()) {
+        if (mLease.isStopping()) {
+            releaseAll();
+            return;
+        }
+        if (!mLease.isRegistered()) {
             return;
         }
         reclaim();
+        claimFormer();
         if (nowNanos - mLease.registeredNanos() >= mSettleNanos) {
             claimFree(nowNanos);
             rebalance(nowNanos);
@@ -180,6 +198,7 @@
     }
 
     private void onLeaseLost() {
+        mFormer.addAll(mTokens);
         for (String shard : List.copyOf(mTokens.keySet())) {
             drop(shard, "lease lost");
         }
@@ -191,6 +210,7 @@
             OwnershipView.ShardOwner owner = view.owners().get(owned.getKey());
             boolean isNotOwner = owner == null || owner.token() != owned.getValue();
             if (isNotOwner && view.revision() >= owned.getValue()) {
+                mFormer.addAll(Map.of(owned.getKey(), owned.getValue()));
                 drop(owned.getKey(), owner == null ? "owner key removed" : "other owner");
             }
         }
@@ -249,6 +269,19 @@
                         });
     }
 
+    /**
+     * Claims the shards that this daemon owned last and that have no owner, without waiting for
+     * other daemons to register, so that the shards stay where they were after an outage in which
+     * the leases of all daemons have expired.
+     */
+    private void claimFormer() {
+        for (String shard : mFormer.withoutOwner(mWatch.view(), wanted())) {
+            if (!mClaiming.contains(shard)) {
+                claim(shard, SharedStore.ABSENT);
+            }
+        }
+    }
+
     private void claimFree(long nowNanos) {
         OwnershipView view = mWatch.view();
         Set<String> free = wanted();
@@ -291,6 +324,8 @@
                         onClaimed(shard, result.revision());
                     } else if (result.outcome() == CommitOutcome.NO_SUCH_LEASE) {
                         mLease.onLost();
+                    } else if (result.outcome() != CommitOutcome.UNKNOWN) {
+                        mFormer.remove(shard);
                     }
                 });
     }
@@ -298,6 +333,7 @@
     private void onClaimed(String shard, long token) {
         LOGGER.log(Level.INFO, "shard: taken shard={0} token={1}", shard, Long.toString(token));
         mUsedTokens.add(token);
+        mFormer.remove(shard);
         mTokens.put(shard, token);
         mListener.onAcquired(shard, token);
     }
@@ -338,7 +374,10 @@
      * @param token the fencing token under which it was owned
      */
     public void completeRelease(String shard, long token) {
-        mTokens.remove(shard, token);
+        boolean isRequested = mReleasing.contains(shard);
+        if (mTokens.remove(shard, token) && !isRequested) {
+            mFormer.addAll(Map.of(shard, token));
+        }
         removeKey(shard, token);
     }
 
--- a/daemon/src/test/java/org/endivetray/daemon/job/SimulatedDaemon.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/SimulatedDaemon.java
@@ -163,11 +163,7 @@
         }
         mStopMillis = mWorld.clock().millis();
         mRouter.markStopping();
-        mProcess.execute(
-                () -> {
-                    mOwnership.stop();
-                    mOwnership.ownedShards().forEach(mOwnership::release);
-                });
+        mProcess.execute(mOwnership::stop);
     }
 
     /** Sets the pools that need an owner, besides those with stored jobs. */
--- a/daemon/src/test/java/org/endivetray/daemon/job/ownership/OwnershipManagerTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/ownership/OwnershipManagerTest.java
@@ -201,4 +201,64 @@
         SHARDS.forEach(
                 shard -> assertFalse(mStore.get("endivetray/live/owner/" + shard).isPresent()));
     }
+
+    /**
+     * Guards against pools without an owner, and against owners that end up with all pools, after
+     * an outage of the store in which the leases of all daemons have expired.
+     */
+    @Test
+    void daemonsWhoseLeasesHaveAllExpiredClaimTheirFormerShardsAtOnce() {
+        SimulatedDaemon first = new SimulatedDaemon("a", 1);
+        mExecutor.advance(2 * SETTLE_MILLIS);
+        SimulatedDaemon other = new SimulatedDaemon("b", 2);
+        mExecutor.advance(8_000);
+        assertEquals(Set.of(LAST_RELEASED), first.mTokens.keySet());
+        assertEquals(Set.of("ice"), other.mTokens.keySet());
+        Map<String, Long> before = new TreeMap<>(first.mTokens);
+        before.putAll(other.mTokens);
+        SHARDS.forEach(shard -> mStore.remove("endivetray/live/owner/" + shard));
+        mStore.remove("endivetray/live/daemon/a");
+        mStore.remove("endivetray/live/daemon/b");
+        mExecutor.advance(SETTLE_MILLIS / 2);
+        assertEquals(Set.of(LAST_RELEASED), first.mTokens.keySet());
+        assertEquals(Set.of("ice"), other.mTokens.keySet());
+        first.mTokens.forEach((shard, token) -> assertTrue(token > before.get(shard), shard));
+        other.mTokens.forEach((shard, token) -> assertTrue(token > before.get(shard), shard));
+    }
+
+    /** Guards against a former owner that takes a shard away from its successor. */
+    @Test
+    void aFormerOwnerLeavesAShardToTheOneThatHasClaimedItMeanwhile() {
+        SimulatedDaemon first = new SimulatedDaemon("a", 1);
+        mExecutor.advance(2 * SETTLE_MILLIS);
+        first.mIsPaused = true;
+        SHARDS.forEach(shard -> mStore.remove("endivetray/live/owner/" + shard));
+        mStore.remove("endivetray/live/daemon/a");
+        SimulatedDaemon other = new SimulatedDaemon("b", 2);
+        mExecutor.advance(2 * SETTLE_MILLIS);
+        assertEquals(SHARDS, other.mTokens.keySet());
+        first.mIsPaused = false;
+        mExecutor.advance(2 * SETTLE_MILLIS);
+        assertEquals(Map.of(), first.mTokens);
+        assertEquals(SHARDS, other.mTokens.keySet());
+    }
+
+    /** Guards against a pool whose owner has stopped work and that no other daemon can claim. */
+    @Test
+    void aDaemonThatStopsDuringAnOutageOfTheStoreKeepsItsShardsUntilItIsOver() {
+        SimulatedDaemon daemon = new SimulatedDaemon("a", 1);
+        mExecutor.advance(2 * SETTLE_MILLIS);
+        mStore.mMode = VirtualStore.Mode.UNRESPONSIVE;
+        mIsStoreAway = true;
+        mExecutor.advance(1_000);
+        daemon.mOwnership.stop();
+        mExecutor.advance(1_000);
+        assertEquals(SHARDS, daemon.mTokens.keySet());
+        mStore.mMode = VirtualStore.Mode.UP;
+        mIsStoreAway = false;
+        mExecutor.advance(100);
+        assertEquals(Map.of(), daemon.mTokens);
+        SHARDS.forEach(
+                shard -> assertFalse(mStore.get("endivetray/live/owner/" + shard).isPresent()));
+    }
 }
