Take a commit's conflict with itself for an answer of the store

Cause: a commit that was made again and conflicted counted as unanswered, so the path to the store was given up again just after it had come back. Change: the outcome stays unknown, the store counts as reachable. RelayingStoreTest checks it.

--- a/daemon/src/main/java/org/endivetray/daemon/job/relay/RelayingStore.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/relay/RelayingStore.java
@@ -40,6 +40,10 @@
     private static final CommitResult UNKNOWN =
             new CommitResult(CommitOutcome.UNKNOWN, 0, List.of());
 
+    /** The answer to a commit that was made again and may be in conflict with itself. */
+    private static final CommitResult OWN_CONFLICT =
+            new CommitResult(CommitOutcome.UNKNOWN, 0, List.of());
+
     private final SharedStore mDirect;
     private final StorePeers mPeers;
     private final LongSupplier mNanoTime;
@@ -169,10 +173,20 @@
     private Future<CommitResult> commitDirectly(Commit commit) {
         return mDirectCalls.make(
                 () -> mDirect.commit(commit),
-                () -> mDirect.commit(commit).map(again -> merge(UNKNOWN, again)));
+                () ->
+                        mDirect.commit(commit)
+                                .map(
+                                        again ->
+                                                again.outcome() == CommitOutcome.CONFLICT
+                                                        ? OWN_CONFLICT
+                                                        : merge(UNKNOWN, again)));
     }
 
     private void onCommitted(CommitResult direct) {
+        if (direct == OWN_CONFLICT) {
+            onAnswered();
+            return;
+        }
         switch (direct.outcome()) {
             case UNKNOWN -> onSilent();
             case NOT_DONE -> onRefused();
--- a/daemon/src/test/java/org/endivetray/daemon/job/relay/RelayingStoreTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/relay/RelayingStoreTest.java
@@ -323,6 +323,7 @@
             mExecutor.advance(TICK_MILLIS);
         }
         assertThat(resultOf(commit, 50).outcome()).isEqualTo(CommitOutcome.UNKNOWN);
+        assertThat(daemon.mRelaying.isReachable()).isTrue();
     }
 
     @Test
