Hold the caps of client accounts across pools by stored shares

Cause: the pools' owners started tasks of an account without regard to its cap. Change: each capped account has one record with what each pool holds and wants of the cap; the pools' owners change it by compare-and-swap on its version and on their own key. A pool starts tasks only within its share.

--- a/daemon/src/main/java/org/endivetray/daemon/job/record/JobKeys.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/record/JobKeys.java
@@ -26,6 +26,9 @@
     /** Prefix of the marks of pools in whose inbox their owner may have jobs to read. */
     public static final String INBOX_PREFIX = LIVE_PREFIX + "inbox/";
 
+    /** Prefix of the pools' shares in the caps of client accounts. */
+    public static final String QUOTA_PREFIX = "endivetray/quota/";
+
     private static final String LOCATION_PREFIX = "endivetray/location/";
 
     private static final String POOL_PREFIX = "endivetray/pool/";
@@ -68,6 +71,11 @@
         return LOCATION_PREFIX + job;
     }
 
+    /** Returns the key of the pools' shares in the cap of a client account. */
+    public static String quota(String account) {
+        return QUOTA_PREFIX + account;
+    }
+
     /** Returns the key of the minions that may hold runs of the pool. */
     public static String minions(String pool) {
         return POOL_PREFIX + pool + "/minions";
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -20,17 +20,20 @@
     private final TaskLifecycle mLifecycle;
     private final DurationModel mDurations;
     private final MinionSelector mMinions;
+    private final AccountRoom mRoom;
 
     Dispatcher(
             ShardContext context,
             ShardState state,
             TaskLifecycle lifecycle,
-            DurationModel durations) {
+            DurationModel durations,
+            AccountRoom room) {
         mContext = context;
         mState = state;
         mLifecycle = lifecycle;
         mDurations = durations;
         mMinions = new MinionSelector(context, state);
+        mRoom = room;
     }
 
     /** Starts the waiting tasks that are ready and for which a minion has room. */
@@ -41,10 +44,12 @@
             collect(job, nowNanos, nowMillis, candidates);
         }
         candidates.sort(Comparator.comparing(Candidate::rank));
+        mRoom.count(nowNanos);
         int waiting = 0;
         for (Candidate candidate : candidates) {
             waiting += place(candidate.step(), nowNanos);
         }
+        mRoom.onDispatched(nowNanos);
         mContext.metrics().onWaitingTasks(mState.mPool, waiting);
     }
 
@@ -119,11 +124,15 @@
             if (task.mPhase != TaskPhase.WAITING) {
                 continue;
             }
-            boolean mayStart =
-                    nowNanos - task.mNotBeforeNanos >= 0
-                            && !mState.mayHaveUnseenRun(task, nowNanos);
+            boolean mayStart = mayStart(task, nowNanos);
             MinionSession minion = hasRoom && mayStart ? mMinions.choose(step, nowNanos) : null;
+            if (minion != null && !mRoom.mayStart(step, 1)) {
+                // All other tasks of the step need as much.
+                mRoom.onBlocked(step, countStartable(step, nowNanos), false);
+                return step.mWaitingCount;
+            }
             if (minion != null) {
+                mRoom.onStarted(step);
                 mLifecycle.start(task, minion, MinionSelector.ticket(step, minion, nowNanos));
             } else {
                 waiting++;
@@ -133,6 +142,16 @@
         return waiting;
     }
 
+    private boolean mayStart(TaskEntry task, long nowNanos) {
+        return task.mPhase == TaskPhase.WAITING
+                && nowNanos - task.mNotBeforeNanos >= 0
+                && !mState.mayHaveUnseenRun(task, nowNanos);
+    }
+
+    private int countStartable(StepEntry step, long nowNanos) {
+        return (int) step.mTasks.stream().filter(task -> mayStart(task, nowNanos)).count();
+    }
+
     /**
      * Starts the tasks of a gang step if all of them can be started now, and returns how many
      * remain waiting. All are started under the same run number and from the same checkpoint.
@@ -140,11 +159,7 @@
     private int placeGang(StepEntry step, long nowNanos) {
         List<TaskEntry> waiting = new ArrayList<>();
         for (TaskEntry task : step.mTasks) {
-            boolean mayStart =
-                    task.mPhase == TaskPhase.WAITING
-                            && nowNanos - task.mNotBeforeNanos >= 0
-                            && !mState.mayHaveUnseenRun(task, nowNanos);
-            if (mayStart) {
+            if (mayStart(task, nowNanos)) {
                 waiting.add(task);
             }
         }
@@ -171,10 +186,15 @@
         if (chosen.size() < waiting.size()) {
             return step.mWaitingCount;
         }
+        if (!mRoom.mayStart(step, waiting.size())) {
+            mRoom.onBlocked(step, waiting.size(), true);
+            return step.mWaitingCount;
+        }
         for (int i = 0; i < chosen.size(); i++) {
             TaskEntry task = waiting.get(i);
             task.mRun = run;
             task.mCheckpoint = checkpoint;
+            mRoom.onStarted(step);
             mLifecycle.start(
                     task, chosen.get(i), MinionSelector.ticket(step, chosen.get(i), nowNanos));
         }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.endivetray.job.MinionInfo;
+import org.endivetray.job.Resources;
 import org.endivetray.job.StepSpec;
 import org.endivetray.platform.MinionOrders;
 import org.endivetray.policy.job.MinionHealth;
@@ -48,7 +49,7 @@
     private int mUsedGpus;
 
     /** Runs that are no current run of a task and are being stopped, as listed last. */
-    private final List<StepSpec> mOrphans = new ArrayList<>();
+    private final List<Orphan> mOrphans = new ArrayList<>();
 
     /** Whether a run of an unknown job was listed last, of which the needs are not known. */
     private boolean mHasUnknownOrphan;
@@ -147,7 +148,8 @@
         int cpuMillis = mUsedCpuMillis + spec.reservedCpuMillis();
         int memoryMb = mUsedMemoryMb + spec.memoryMb();
         int gpus = mUsedGpus + spec.gpus();
-        for (StepSpec orphan : mOrphans) {
+        for (Orphan each : mOrphans) {
+            StepSpec orphan = each.needs();
             cpuMillis += orphan.reservedCpuMillis();
             memoryMb += orphan.memoryMb();
             gpus += orphan.gpus();
@@ -164,11 +166,16 @@
     }
 
     /** Counts a listed run that is no current run of a task; empty needs are not known. */
-    void addOrphan(Optional<StepSpec> needs) {
-        needs.ifPresent(mOrphans::add);
+    void addOrphan(Optional<StepSpec> needs, String account) {
+        needs.ifPresent(present -> mOrphans.add(new Orphan(present, account)));
         mHasUnknownOrphan |= needs.isEmpty();
     }
 
+    /** Returns the listed runs that are no current runs of a task and whose needs are known. */
+    List<Orphan> orphans() {
+        return mOrphans;
+    }
+
     private boolean hasOrphans() {
         return mHasUnknownOrphan || !mOrphans.isEmpty();
     }
@@ -177,6 +184,14 @@
         return mInfo.cpuMillis() - mUsedCpuMillis;
     }
 
+    /** Returns what tasks could still take. */
+    Resources free() {
+        return new Resources(
+                mInfo.cpuMillis() - mUsedCpuMillis,
+                mInfo.memoryMb() - mUsedMemoryMb,
+                mInfo.gpus() - mUsedGpus);
+    }
+
     int usedCpuMillis() {
         return mUsedCpuMillis;
     }
@@ -345,4 +360,12 @@
         long lastSeen = isRecent ? mLastStoredEnd : 0;
         return new MinionOrders.LeaseOrder(leaseEnd, lastSeen, waitMillis, mFence.token());
     }
+
+    /**
+     * A listed run that is no current run of a task.
+     *
+     * @param needs the step of its task, not null
+     * @param account the client account of its job, empty for none, not null
+     */
+    record Orphan(StepSpec needs, String account) {}
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/RunReconciler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/RunReconciler.java
@@ -55,7 +55,7 @@
             if (reconcile(session, running)) {
                 confirmed.add(running.task());
             } else {
-                session.addOrphan(mState.needsOf(running.task()));
+                session.addOrphan(mState.needsOf(running.task()), mState.accountOf(running.task()));
                 mLifecycle.stopOrphan(session, running.task(), running.run());
             }
         }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -55,6 +55,7 @@
     private final QueueRecord mQueueRecord;
     private final MinionMonitor mMonitor;
     private final OccurrenceLoader mLoader;
+    private final AccountRoom mRoom;
     private final Dispatcher mDispatcher;
     private final PoolLoadMeter mLoadMeter;
     private final CancellationCleaner mCancellations;
@@ -110,7 +111,8 @@
         mMinionRecord = new MinionRecord(mState, mWriter);
         mQueueRecord = new QueueRecord(mState, mWriter);
         mMonitor = new MinionMonitor(context, mState, mWriter, mLifecycle, onFenced);
-        mDispatcher = new Dispatcher(context, mState, mLifecycle, durations);
+        mRoom = new AccountRoom(context, mState, owner);
+        mDispatcher = new Dispatcher(context, mState, mLifecycle, durations, mRoom);
         mLoadMeter = new PoolLoadMeter(context, mState);
         mLoader = new OccurrenceLoader(mState, context.memory());
         mCancellations =
@@ -190,6 +192,7 @@
                 reason);
         mPhase = Phase.LOST;
         mRequestHandler.onShardLost();
+        mRoom.stop();
         mState.markLost();
         mOnLost.accept(this);
     }
@@ -240,6 +243,7 @@
             mRequestHandler.purge(mContext.limits().retentionMillis());
         }
         mCancellations.tick(nowNanos);
+        mRoom.tick(nowNanos);
         if (mPhase != Phase.LOST) {
             mWriter.flush(nowNanos);
         }
@@ -286,6 +290,7 @@
         mRequestHandler.applyEarlyCancellations();
         mRequestHandler.finishImplied();
         mInboxWatcher.start(loaded.inbox().revision());
+        mRoom.start();
         mMonitor.onRegistrations(mRegistrations);
         tick(now);
     }
@@ -333,6 +338,7 @@
             return Future.failedFuture(new NotOwnerException(pool()));
         }
         Promise<JobAnswer> answer = Promise.promise();
+        mRoom.onSubmitted(account, spec);
         mRequestHandler.submit(queue, account, id, spec, answer);
         mWriter.flush(mContext.executor().nanoTime());
         return answer.future();
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardState.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardState.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.endivetray.job.ClientAccount;
 import org.endivetray.job.MinionInfo;
 import org.endivetray.job.StepSpec;
 import org.endivetray.job.TaskId;
@@ -85,6 +86,14 @@
                 .map(id -> mJobs.get(id.job()).mStored.spec().steps().get(id.step()));
     }
 
+    /** Returns the client account of the task with a name, empty if its job is not known. */
+    String accountOf(String name) {
+        return TaskId.parse(name)
+                .map(id -> mJobs.get(id.job()))
+                .map(job -> job.mStored.account())
+                .orElse(ClientAccount.NONE);
+    }
+
     /** Loads an occurrence of a job, which must allow it. */
     void load(JobEntry job, int number) {
         job.load(number);
@@ -200,9 +209,12 @@
 
     /** Returns whether a task may have a run of an earlier owner that this owner does not know. */
     boolean mayHaveUnseenRun(TaskEntry task, long nowNanos) {
-        return task.mStep.mJob.mIsInherited
-                && !mUnreconciledMinions.isEmpty()
-                && nowNanos - mInheritedLeaseEndNanos < 0;
+        return task.mStep.mJob.mIsInherited && mayHaveUnseenRuns(nowNanos);
+    }
+
+    /** Returns whether runs of earlier owners may exist that this owner does not know. */
+    boolean mayHaveUnseenRuns(long nowNanos) {
+        return !mUnreconciledMinions.isEmpty() && nowNanos - mInheritedLeaseEndNanos < 0;
     }
 
     /**
--- a/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
@@ -31,6 +31,17 @@
             counter("endivetray_task_ends", "Ended runs by kind of end.", "pool", "end");
     private final Counter mTakeovers =
             counter("endivetray_shard_takeovers", "Shards taken over by this daemon.", "pool");
+    private final Counter mQuotaCommits =
+            counter(
+                    "endivetray_quota_commits",
+                    "Changes of the pools' shares in accounts' caps, by outcome.",
+                    "outcome");
+    private final Gauge mQuotaWaiting =
+            Gauge.builder()
+                    .name("endivetray_quota_tasks_waiting")
+                    .help("Tasks that are ready to start and wait for room of their account.")
+                    .labelNames("pool")
+                    .register(mRegistry);
     private final Gauge mWaiting =
             Gauge.builder()
                     .name("endivetray_tasks_waiting")
@@ -94,6 +105,16 @@
         mWaiting.labelValues(pool).set(tasks);
     }
 
+    /** Records the outcome of a change of shares in an account's cap. */
+    public void onQuotaCommit(String outcome) {
+        mQuotaCommits.labelValues(outcome).inc();
+    }
+
+    /** Records the number of tasks that wait for room of their account. */
+    public void onQuotaWaitingTasks(String pool, int tasks) {
+        mQuotaWaiting.labelValues(pool).set(tasks);
+    }
+
     /** Records what the jobs of this daemon take of its memory. */
     public void onMemoryUse(MemoryLimit.Use use) {
         mHeldTasks.labelValues("scheduled").set(use.scheduledTasks());
--- a/daemon/src/test/java/org/endivetray/daemon/job/virtual/VirtualStore.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/virtual/VirtualStore.java
@@ -29,6 +29,8 @@
     private final Set<Promise<Range>> mSilent = new HashSet<>();
     private long mRevision = 1;
     private long mNextLease = 100;
+    private int mCalls;
+    private int mCommits;
 
     /** How the store responds to calls. */
     public enum Mode {
@@ -60,6 +62,21 @@
         mWatchers.clear();
     }
 
+    /** Returns the number of calls so far. */
+    public int calls() {
+        return mCalls;
+    }
+
+    /** Returns the number of commits so far, also of those that did not take effect. */
+    public int commits() {
+        return mCommits;
+    }
+
+    /** Returns the prefixes that are being watched. */
+    public List<String> watchedPrefixes() {
+        return mWatchers.stream().map(Watcher::prefix).toList();
+    }
+
     public VirtualStore(VirtualExecutor executor) {
         mExecutor = executor;
     }
@@ -110,6 +127,7 @@
     }
 
     private <T> Future<T> answer(java.util.function.Supplier<T> read) {
+        mCalls++;
         Promise<T> promise = Promise.promise();
         if (mMode == Mode.REFUSING || mMode == Mode.UNRESPONSIVE) {
             long delay = mMode == Mode.REFUSING ? DELAY_MILLIS : TIMEOUT_MILLIS;
@@ -151,6 +169,7 @@
         if (!events.entries().isEmpty()) {
             return answer(() -> eventsAfter(prefix, afterRevision));
         }
+        mCalls++;
         Promise<Range> promise = Promise.promise();
         long limit = mExecutor.millis() + waitMillis + WATCH_GRACE_MILLIS;
         Watcher watcher = new Watcher(prefix, afterRevision, promise, limit);
@@ -168,6 +187,8 @@
 
     @Override
     public Future<CommitResult> commit(Commit commit) {
+        mCalls++;
+        mCommits++;
         Promise<CommitResult> promise = Promise.promise();
         switch (mMode) {
             case UP -> mExecutor.schedule(DELAY_MILLIS, () -> promise.complete(execute(commit)));
--- a/model/src/main/java/org/endivetray/job/ClientAccounts.java
+++ b/model/src/main/java/org/endivetray/job/ClientAccounts.java
@@ -18,21 +18,26 @@
  */
 public final class ClientAccounts {
     /** No accounts, so that no keys are checked. */
-    public static final ClientAccounts NONE = new ClientAccounts(List.of(), Set.of(), false);
+    public static final ClientAccounts NONE =
+            new ClientAccounts(Map.of(), Map.of(), Set.of(), false, 0);
 
-    private final Map<String, ClientAccount> mByName = new HashMap<>();
-    private final Map<String, ClientAccount> mByKey = new HashMap<>();
+    private final Map<String, ClientAccount> mByName;
+    private final Map<String, ClientAccount> mByKey;
     private final Set<String> mPublicQueues;
     private final boolean mIsEnforced;
+    private final long mVersion;
 
     private ClientAccounts(
-            List<ClientAccount> accounts, Set<String> publicQueues, boolean isEnforced) {
-        for (ClientAccount account : accounts) {
-            mByName.putIfAbsent(account.name(), account);
-            account.keys().forEach(key -> mByKey.putIfAbsent(key, account));
-        }
+            Map<String, ClientAccount> byName,
+            Map<String, ClientAccount> byKey,
+            Set<String> publicQueues,
+            boolean isEnforced,
+            long version) {
+        mByName = Map.copyOf(byName);
+        mByKey = Map.copyOf(byKey);
         mPublicQueues = Set.copyOf(publicQueues);
         mIsEnforced = isEnforced;
+        mVersion = version;
     }
 
     /**
@@ -42,7 +47,23 @@
      * @param publicQueues names of the queues that need no key, not null
      */
     public static ClientAccounts of(List<ClientAccount> accounts, Set<String> publicQueues) {
-        return new ClientAccounts(accounts, publicQueues, true);
+        Map<String, ClientAccount> byName = new HashMap<>();
+        Map<String, ClientAccount> byKey = new HashMap<>();
+        for (ClientAccount account : accounts) {
+            byName.putIfAbsent(account.name(), account);
+            account.keys().forEach(key -> byKey.putIfAbsent(key, account));
+        }
+        return new ClientAccounts(byName, byKey, publicQueues, true, 0);
+    }
+
+    /** Returns a copy for a version of the configuration. */
+    public ClientAccounts withVersion(long version) {
+        return new ClientAccounts(mByName, mByKey, mPublicQueues, mIsEnforced, version);
+    }
+
+    /** Returns the version of the configuration, 0 if it has none. */
+    public long version() {
+        return mVersion;
     }
 
     /** Returns whether callers of queues that are not public need a key. */
@@ -52,7 +73,7 @@
 
     /** Returns the accounts by name. */
     public Map<String, ClientAccount> byName() {
-        return Map.copyOf(mByName);
+        return mByName;
     }
 
     /** Returns the account with a name, or empty if there is none. */
--- a/model/src/main/java/org/endivetray/job/SiteConfig.java
+++ b/model/src/main/java/org/endivetray/job/SiteConfig.java
@@ -18,6 +18,7 @@
     public SiteConfig {
         queues = List.copyOf(queues);
         pools = List.copyOf(pools);
+        accounts = accounts.withVersion(version);
     }
 
     /** Constructs a configuration without client accounts. */
