--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/InheritedRuns.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/InheritedRuns.java
@@ -83,6 +83,11 @@
                 : Optional.of(mClosedMinions.getOrDefault(minion, Set.of()));
     }
 
+    /** Returns whether any unknown run may exist. */
+    boolean mayExist(long nowNanos) {
+        return !isReconciled() && nowNanos - mLeaseEndNanos < 0;
+    }
+
     /** Returns whether a task of an inherited job may have an unknown run. */
     boolean mayInclude(String task, long nowNanos) {
         return nowNanos - mLeaseEndNanos < 0
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.endivetray.job.MinionInfo;
+import org.endivetray.job.Resources;
 import org.endivetray.job.StepSpec;
 import org.endivetray.platform.MinionOrders;
 import org.endivetray.policy.job.MinionHealth;
@@ -53,7 +54,7 @@
     private int mUsedGpus;
 
     /** Runs that are no current run of a task and are being stopped, as listed last. */
-    private final List<StepSpec> mOrphans = new ArrayList<>();
+    private final List<Orphan> mOrphans = new ArrayList<>();
 
     /** Names of the tasks of these runs. */
     private final Set<String> mOrphanTasks = new HashSet<>();
@@ -174,7 +175,8 @@
         int cpuMillis = mUsedCpuMillis + spec.reservedCpuMillis();
         int memoryMb = mUsedMemoryMb + spec.memoryMb();
         int gpus = mUsedGpus + spec.gpus();
-        for (StepSpec orphan : mOrphans) {
+        for (Orphan each : mOrphans) {
+            StepSpec orphan = each.needs();
             cpuMillis += orphan.reservedCpuMillis();
             memoryMb += orphan.memoryMb();
             gpus += orphan.gpus();
@@ -191,15 +193,26 @@
         mHasUnknownOrphan = false;
     }
 
-    /** Counts a listed run that is no current run of its task; empty needs are not known. */
-    void addOrphan(String task, Optional<StepSpec> needs) {
+    /**
+     * Counts a listed run that is no current run of its task.
+     *
+     * @param task name of the task, not null
+     * @param needs what the run takes, empty if it is not known
+     * @param account name of the client account, not null
+     */
+    void addOrphan(String task, Optional<StepSpec> needs, String account) {
         mOrphanTasks.add(task);
-        needs.ifPresent(mOrphans::add);
+        needs.ifPresent(present -> mOrphans.add(new Orphan(present, account)));
         mHasUnknownOrphan |= needs.isEmpty();
     }
 
+    /** Returns the listed runs that are no current runs of a task and whose needs are known. */
+    List<Orphan> orphans() {
+        return mOrphans;
+    }
+
     /** Returns the names of the tasks whose listed runs are no current ones. */
-    Set<String> orphans() {
+    Set<String> orphanTasks() {
         return mOrphanTasks;
     }
 
@@ -211,6 +224,14 @@
         return mInfo.cpuMillis() - mUsedCpuMillis;
     }
 
+    /** Returns what tasks could still take. */
+    Resources free() {
+        return new Resources(
+                mInfo.cpuMillis() - mUsedCpuMillis,
+                mInfo.memoryMb() - mUsedMemoryMb,
+                mInfo.gpus() - mUsedGpus);
+    }
+
     int usedCpuMillis() {
         return mUsedCpuMillis;
     }
@@ -379,4 +400,12 @@
         long lastSeen = isRecent ? mLastStoredEnd : 0;
         return new MinionOrders.LeaseOrder(leaseEnd, lastSeen, waitMillis, mFence.token());
     }
+
+    /**
+     * A listed run that is no current run of a task.
+     *
+     * @param needs the step of its task, not null
+     * @param account the client account of its job, empty for none, not null
+     */
+    record Orphan(StepSpec needs, String account) {}
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/RunReconciler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/RunReconciler.java
@@ -55,7 +55,10 @@
             if (reconcile(session, running)) {
                 confirmed.add(running.task());
             } else {
-                session.addOrphan(running.task(), mState.needsOf(running.task()));
+                session.addOrphan(
+                        running.task(),
+                        mState.needsOf(running.task()),
+                        mState.accountOf(running.task()));
                 mLifecycle.stopOrphan(session, running.task(), running.run());
             }
         }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardState.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardState.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.endivetray.daemon.job.record.StoredMinions;
+import org.endivetray.job.ClientAccount;
 import org.endivetray.job.MinionInfo;
 import org.endivetray.job.StepSpec;
 import org.endivetray.job.TaskId;
@@ -83,6 +84,14 @@
                 .map(id -> mJobs.get(id.job()).mStored.spec().steps().get(id.step()));
     }
 
+    /** Returns the client account of the task with a name, empty if its job is not known. */
+    String accountOf(String name) {
+        return TaskId.parse(name)
+                .map(id -> mJobs.get(id.job()))
+                .map(job -> job.mStored.account())
+                .orElse(ClientAccount.NONE);
+    }
+
     /** Loads an occurrence of a job, which must allow it. */
     void load(JobEntry job, int number) {
         job.load(number);
@@ -211,6 +220,11 @@
         return task.mStep.mJob.mIsInherited && mInheritedRuns.mayInclude(task.mName, nowNanos);
     }
 
+    /** Returns whether runs of earlier owners may exist that this owner does not know. */
+    boolean mayHaveUnseenRuns(long nowNanos) {
+        return mInheritedRuns.mayExist(nowNanos);
+    }
+
     /**
      * An incarnation of a minion that was terminated by order.
      *
