Serve the accounts within their rate first when a pool is full

Cause: the order of waiting steps did not know accounts, so one that sent many times its usual made the others late.

Change: an accepted submission within the rate of its account adds an entitlement to the account; entitled jobs go first, those that can be in time before those that are late, and the rest takes the room that is left. Which of an account's jobs are entitled follows StepRank. Late steps are served by share. Without accounts in the configuration the order is as before.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -20,6 +20,7 @@
     private final TaskLifecycle mLifecycle;
     private final DurationModel mDurations;
     private final MinionSelector mMinions;
+    private final AccountDispatcher mAccounts;
 
     Dispatcher(
             ShardContext context,
@@ -31,6 +32,7 @@
         mLifecycle = lifecycle;
         mDurations = durations;
         mMinions = new MinionSelector(context, state);
+        mAccounts = new AccountDispatcher(context, state);
     }
 
     /** Starts the waiting tasks that are ready and for which a minion has room. */
@@ -40,11 +42,14 @@
         for (JobEntry job : mState.mActiveJobs.values()) {
             collect(job, nowNanos, nowMillis, candidates);
         }
-        candidates.sort(Comparator.comparing(Candidate::rank));
-        int waiting = 0;
-        for (Candidate candidate : candidates) {
-            waiting += place(candidate.step(), nowNanos);
+        if (mContext.accounts().get().isEnforced()) {
+            mAccounts.run(
+                    candidates, (step, maxTasks) -> place(step, maxTasks, nowNanos), nowNanos);
+        } else {
+            candidates.sort(Comparator.comparing(Candidate::rank));
+            candidates.forEach(each -> place(each.step(), Integer.MAX_VALUE, nowNanos));
         }
+        int waiting = candidates.stream().mapToInt(each -> each.step().mWaitingCount).sum();
         mContext.metrics().onWaitingTasks(mState.mPool, waiting);
     }
 
@@ -108,12 +113,16 @@
         return mDurations.expectedMillis(step.kind(), step.mSpec.estimateMillis());
     }
 
-    /** Starts the tasks of a step that can be started and returns how many remain waiting. */
-    private int place(StepEntry step, long nowNanos) {
+    /**
+     * Starts the tasks of a step that can be started, up to a number unless they are a gang, and
+     * returns how many remain waiting.
+     */
+    private int place(StepEntry step, int maxTasks, long nowNanos) {
         if (step.mSpec.gang()) {
             return placeGang(step, nowNanos);
         }
         int waiting = 0;
+        int started = 0;
         boolean hasRoom = true;
         for (TaskEntry task : step.mTasks) {
             if (task.mPhase != TaskPhase.WAITING) {
@@ -125,6 +134,8 @@
             MinionSession minion = hasRoom && mayStart ? mMinions.choose(step, nowNanos) : null;
             if (minion != null) {
                 mLifecycle.start(task, minion, MinionSelector.ticket(step, minion, nowNanos));
+                started++;
+                hasRoom = started < maxTasks;
             } else {
                 waiting++;
                 hasRoom &= !mayStart;
@@ -182,5 +193,5 @@
     }
 
     /** A step with waiting tasks, and its rank. */
-    private record Candidate(StepEntry step, StepRank rank) {}
+    record Candidate(StepEntry step, StepRank rank) {}
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobEntry.java
@@ -51,6 +51,12 @@
     /** Whether an earlier owner may have started tasks of the job. */
     boolean mIsInherited;
 
+    /** Whether the submission has been counted against the rate of its account. */
+    boolean mIsCounted;
+
+    /** Whether the job gets room as a submission within the rate of its account. */
+    boolean mIsEntitled;
+
     private final Map<Integer, OccurrenceEntry> mLoaded = new TreeMap<>();
     private final BitSet mDone = new BitSet();
 
--- a/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
@@ -37,6 +37,19 @@
                     .help("Tasks that are ready to start and wait for capacity.")
                     .labelNames("pool")
                     .register(mRegistry);
+    private final Gauge mBehindShare =
+            Gauge.builder()
+                    .name("endivetray_accounts_behind_share")
+                    .help(
+                            "Accounts with waiting tasks within their rate that use less than a share.")
+                    .labelNames("pool")
+                    .register(mRegistry);
+    private final Gauge mBeyondRate =
+            Gauge.builder()
+                    .name("endivetray_tasks_waiting_beyond_rate")
+                    .help("Waiting tasks of jobs that are beyond the rate of their account.")
+                    .labelNames("pool")
+                    .register(mRegistry);
     private final Gauge mHeldTasks =
             Gauge.builder()
                     .name("endivetray_tasks_held")
@@ -94,6 +107,18 @@
         mWaiting.labelValues(pool).set(tasks);
     }
 
+    /**
+     * Records what waits in a pool by account.
+     *
+     * @param pool name of the pool, not null
+     * @param behindShare number of accounts that wait and use less than their share
+     * @param beyondRate number of waiting tasks of jobs beyond the rate of their account
+     */
+    public void onAccounts(String pool, int behindShare, int beyondRate) {
+        mBehindShare.labelValues(pool).set(behindShare);
+        mBeyondRate.labelValues(pool).set(beyondRate);
+    }
+
     /** Records what the jobs of this daemon take of its memory. */
     public void onMemoryUse(MemoryLimit.Use use) {
         mHeldTasks.labelValues("scheduled").set(use.scheduledTasks());
--- a/policy/src/main/java/org/endivetray/policy/job/StepRank.java
+++ b/policy/src/main/java/org/endivetray/policy/job/StepRank.java
@@ -62,6 +62,21 @@
         return new StepRank(LATE, -ageMillis);
     }
 
+    /** Returns whether the step is one of those that end by themselves. */
+    public boolean isFinite() {
+        return group == IN_TIME || group == LATE;
+    }
+
+    /** Returns whether the step uses only capacity that all others leave. */
+    public boolean isBestEffort() {
+        return group == BEST_EFFORT;
+    }
+
+    /** Returns whether the step ends by itself and can still meet its objective. */
+    public boolean isInTime() {
+        return group == IN_TIME;
+    }
+
     @Override
     public int compareTo(StepRank other) {
         return ORDER.compare(this, other);
