Spread the returns of callers that are refused at the limit of jobs

Cause: all callers refused at the limit were told to return after 2 s, so they came at once and most were refused again.

Change: with accounts in the configuration a refused caller gets the place of one job that is expected to end, by the rate of recent ends, and the place is kept for it. CompletionEstimate gives the wait of a job submitted now, from what waits and runs, learnt durations and capacity; it is a metric and refuses nothing.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/AccountDispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/AccountDispatcher.java
@@ -14,6 +14,8 @@
 import org.endivetray.job.ClientAccounts;
 import org.endivetray.policy.job.AccountOrder;
 import org.endivetray.policy.job.AccountUse;
+import org.endivetray.policy.job.CompletionEstimate;
+import org.endivetray.policy.job.DurationModel;
 import org.endivetray.policy.job.Entitlements;
 
 /**
@@ -33,14 +35,16 @@
 
     private final ShardContext mContext;
     private final ShardState mState;
+    private final DurationModel mDurations;
     private final Entitlements mEntitlements = new Entitlements();
     private final AccountOrder<StepEntry> mOrder = new AccountOrder<>();
     private long mReportedNanos;
     private boolean mHasReported;
 
-    AccountDispatcher(ShardContext context, ShardState state) {
+    AccountDispatcher(ShardContext context, ShardState state, DurationModel durations) {
         mContext = context;
         mState = state;
+        mDurations = durations;
     }
 
     /** Starts tasks of a step. */
@@ -91,6 +95,57 @@
                     }
                 });
         report(waiting, use, nowNanos);
+        mContext.metrics()
+                .onWaitEstimate(
+                        mState.mPool, waitEstimate(waiting, use.capacityCpuMillis(), nowNanos));
+    }
+
+    /**
+     * Returns the estimate for a job that is submitted now and goes after all that waits.
+     *
+     * @param waiting the steps that were waiting before the dispatch, not null
+     * @param sharedCpuMillis processors that are not taken by long-running tasks, in thousandths of
+     *     a core
+     */
+    private CompletionEstimate waitEstimate(
+            List<AccountOrder.Waiting<StepEntry>> waiting, long sharedCpuMillis, long nowNanos) {
+        boolean isLearnt = true;
+        double aheadCoreSeconds = 0;
+        for (AccountOrder.Waiting<StepEntry> each : waiting) {
+            StepEntry step = each.step();
+            if (each.rank().isFinite() && step.mWaitingCount > 0) {
+                isLearnt &= mDurations.isLearnt(step.kind());
+                aheadCoreSeconds += step.mWaitingCount * coreSeconds(step);
+            }
+        }
+        boolean isSteady = mState.mUnreconciledMinions.isEmpty();
+        double usedCpuMillis = 0;
+        double runningCoreSeconds = 0;
+        for (MinionSession minion : mState.mMinions.values()) {
+            isSteady &= !minion.mIsRegistered || minion.isSchedulable(nowNanos);
+            for (TaskEntry task : minion.tasks().values()) {
+                if (!task.mStep.mSpec.longRunning()) {
+                    usedCpuMillis += task.mStep.mSpec.reservedCpuMillis();
+                    // Running tasks have half of their duration left on average.
+                    runningCoreSeconds += coreSeconds(task.mStep) / 2;
+                }
+            }
+        }
+        return CompletionEstimate.of(
+                new CompletionEstimate.Pool(
+                        sharedCpuMillis / 1e3,
+                        (sharedCpuMillis - usedCpuMillis) / 1e3,
+                        runningCoreSeconds,
+                        aheadCoreSeconds,
+                        isSteady),
+                0,
+                isLearnt);
+    }
+
+    /** Returns the expected work of a task of a step. */
+    private double coreSeconds(StepEntry step) {
+        long millis = mDurations.expectedMillis(step.kind(), step.mSpec.estimateMillis());
+        return millis / 1e3 * step.mSpec.reservedCpuMillis() / 1e3;
     }
 
     private static double weight(String account, ClientAccounts accounts) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -32,7 +32,7 @@
         mLifecycle = lifecycle;
         mDurations = durations;
         mMinions = new MinionSelector(context, state);
-        mAccounts = new AccountDispatcher(context, state);
+        mAccounts = new AccountDispatcher(context, state, durations);
     }
 
     /** Starts the waiting tasks that are ready and for which a minion has room. */
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
@@ -32,11 +32,7 @@
 final class JobRequestHandler {
     private static final Logger LOGGER = System.getLogger(JobRequestHandler.class.getName());
 
-    /** Most jobs of a shard that have not ended. The limit bounds the memory of a daemon. */
-    private static final int MAX_ACTIVE_JOBS = 6_000;
-
     private static final long RETRY_AFTER_OUTAGE_MILLIS = 1_000;
-    private static final long RETRY_AFTER_OVERLOAD_MILLIS = 2_000;
 
     /** Time for which records are kept beyond the retention time. */
     static final long PURGE_MARGIN_MILLIS = TimeUnit.SECONDS.toMillis(60);
@@ -51,6 +47,7 @@
     private final MemoryUse mMemory;
     private final QueueRecord mQueues;
     private final CancellationCleaner mCancellations;
+    private final SubmissionLimit mLimit;
     private final Map<String, List<Promise<JobAnswer>>> mPendingSubmissions = new HashMap<>();
 
     /** The submissions whose outcome is unknown, by job id. */
@@ -73,7 +70,8 @@
             TaskLifecycle lifecycle,
             MemoryUse memory,
             QueueRecord queues,
-            CancellationCleaner cancellations) {
+            CancellationCleaner cancellations,
+            SubmissionLimit limit) {
         mExecutor = executor;
         mState = state;
         mWriter = writer;
@@ -81,6 +79,7 @@
         mMemory = memory;
         mQueues = queues;
         mCancellations = cancellations;
+        mLimit = limit;
     }
 
     /**
@@ -101,10 +100,8 @@
         }
         // An earlier attempt whose outcome is unknown may still be stored.
         boolean mayExist = mReservations.containsKey(id);
-        if (!mayExist && mState.mActiveJobs.size() >= MAX_ACTIVE_JOBS) {
-            answer.complete(
-                    JobAnswer.refused(
-                            RETRY_AFTER_OVERLOAD_MILLIS, "the shard has too many active jobs"));
+        if (!mayExist && !mLimit.hasPlace(id)) {
+            answer.complete(mLimit.refuse(id, "the shard has too many active jobs"));
             return;
         }
         StoredJob stored =
@@ -117,11 +114,10 @@
                         record.length,
                         mMemory.current());
         if (!mayExist && !hasRoom) {
-            answer.complete(
-                    JobAnswer.refused(
-                            RETRY_AFTER_OVERLOAD_MILLIS, "the daemon's memory limit is reached"));
+            answer.complete(mLimit.refuse(id, "the daemon's memory limit is reached"));
             return;
         }
+        mLimit.onSubmitted(id);
         mPendingSubmissions.put(id, new ArrayList<>(List.of(answer)));
         reserve(id, new Reservation(queue.name(), record.length));
         // Queued before the job, so that the pool keeps an owner from its acceptance on.
@@ -161,6 +157,7 @@
         release(job.mId);
         if (!mState.mJobs.containsKey(job.mId)) {
             mState.add(job);
+            mLimit.onAccepted();
         }
         LOGGER.log(
                 Level.INFO,
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -124,7 +124,8 @@
                         mLifecycle,
                         context.memory(),
                         mQueueRecord,
-                        mCancellations);
+                        mCancellations,
+                        new SubmissionLimit(context.executor(), mState, context.accounts()));
         Runnable onOwnerChanged = () -> markLost("owner changed in the store");
         mInboxWatcher =
                 new InboxWatcher(
--- a/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.endivetray.policy.job.CompletionEstimate;
 import org.endivetray.policy.job.MemoryLimit;
 
 /**
@@ -50,6 +51,12 @@
                     .help("Waiting tasks of jobs that are beyond the rate of their account.")
                     .labelNames("pool")
                     .register(mRegistry);
+    private final Gauge mWaitEstimate =
+            Gauge.builder()
+                    .name("endivetray_wait_estimate_seconds")
+                    .help("Estimated wait of a job that goes after all that waits, NaN if unsure.")
+                    .labelNames("pool")
+                    .register(mRegistry);
     private final Gauge mHeldTasks =
             Gauge.builder()
                     .name("endivetray_tasks_held")
@@ -119,6 +126,13 @@
         mBeyondRate.labelValues(pool).set(beyondRate);
     }
 
+    /** Records the estimate for a job that is submitted to a pool now. */
+    public void onWaitEstimate(String pool, CompletionEstimate estimate) {
+        mWaitEstimate
+                .labelValues(pool)
+                .set(estimate.isSure() ? estimate.waitMillis() / 1e3 : Double.NaN);
+    }
+
     /** Records what the jobs of this daemon take of its memory. */
     public void onMemoryUse(MemoryLimit.Use use) {
         mHeldTasks.labelValues("scheduled").set(use.scheduledTasks());
--- a/policy/src/test/java/org/endivetray/policy/job/AccountLoad.java
+++ b/policy/src/test/java/org/endivetray/policy/job/AccountLoad.java
@@ -23,6 +23,7 @@
     static final long OBJECTIVE_MILLIS = 1_600;
 
     private static final double TAIL_SHARE = 0.1;
+    private static final int MAX_RETRIES = 4;
     private static final int MAX_TASKS = 16;
     private static final double MEAN_TASKS = (1 + MAX_TASKS) / 2.0;
     private static final long TURN_MILLIS = 4_000;
@@ -42,6 +43,7 @@
         boolean mIsWithinRate;
         boolean mIsEntitled;
         boolean mIsSeen;
+        int mRefusals;
         int mWaiting;
         private int mOpen;
         private long mEndMillis = Long.MAX_VALUE;
@@ -54,6 +56,11 @@
             mOpen = tasks;
         }
 
+        /** Returns a name that the job has in each run of the load. */
+        String name() {
+            return mAccount.name() + "/" + mArrivalMillis + "/" + mTasks;
+        }
+
         double workCoreSeconds() {
             return mTasks * EXPECTED_MILLIS / 1e3;
         }
@@ -70,10 +77,6 @@
         boolean isInTime() {
             return mEndMillis - mArrivalMillis <= OBJECTIVE_MILLIS;
         }
-
-        long waitMillis() {
-            return mEndMillis - mArrivalMillis;
-        }
     }
 
     /** A task that ends at a time. */
@@ -195,13 +198,29 @@
         return tasks;
     }
 
-    /** Runs all jobs to their end. */
+    /** Decides whether a job is accepted. */
+    interface Admission {
+        /** Returns 0 to accept a job, or the time after which it may return, in milliseconds. */
+        long refuse(Job job, List<Job> waiting, AccountLoad load, long nowMillis);
+    }
+
+    /** A job that arrives, for the first time or again. */
+    private record Arrival(long millis, Job job) {}
+
+    /** Accepts all jobs and runs them to their end. */
     Result run(Scheduler scheduler) {
+        return run(scheduler, (job, waiting, load, nowMillis) -> 0);
+    }
+
+    /** Runs all accepted jobs to their end; the clients of refused ones obey and return. */
+    Result run(Scheduler scheduler, Admission admission) {
         mJobs.sort(Comparator.comparingLong(job -> job.mArrivalMillis));
         markOwed();
         Entitlements rate = new Entitlements();
         List<Job> waiting = new ArrayList<>();
-        int arrived = 0;
+        PriorityQueue<Arrival> arrivals =
+                new PriorityQueue<>(Comparator.comparingLong(Arrival::millis));
+        mJobs.forEach(job -> arrivals.add(new Arrival(job.mArrivalMillis, job)));
         int open = mJobs.size();
         while (open > 0) {
             boolean isChanged = false;
@@ -213,12 +232,21 @@
                     open--;
                 }
             }
-            while (arrived < mJobs.size() && mJobs.get(arrived).mArrivalMillis <= mNowMillis) {
-                Job job = mJobs.get(arrived++);
-                job.mIsWithinRate =
-                        rate.admit(job.mAccount.name(), job.mAccount.weight(), job.mArrivalMillis);
-                waiting.add(job);
-                isChanged = true;
+            while (!arrivals.isEmpty() && arrivals.peek().millis() <= mNowMillis) {
+                Job job = arrivals.poll().job();
+                if (job.mRefusals == 0) {
+                    job.mIsWithinRate =
+                            rate.admit(job.mAccount.name(), job.mAccount.weight(), mNowMillis);
+                }
+                long retryMillis = admission.refuse(job, waiting, this, mNowMillis);
+                if (retryMillis == 0) {
+                    waiting.add(job);
+                    isChanged = true;
+                } else if (++job.mRefusals <= MAX_RETRIES) {
+                    arrivals.add(new Arrival(mNowMillis + retryMillis, job));
+                } else {
+                    open--;
+                }
             }
             if (isChanged && freeCores() > 0) {
                 scheduler.dispatch(waiting, this, mNowMillis);
