Let a priority decide only about room that is left

Cause: among entitled steps that can be in time, the account's priority went before the least work, so an account lost what its weight entitles it to for another's priority.

Change: priorities decide beyond the shares of late work and beyond the rates. 'job: accepted' names the account.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
@@ -161,11 +161,12 @@
         }
         LOGGER.log(
                 Level.INFO,
-                "job: accepted job={0} queue={1} steps={2} tasks={3}",
+                "job: accepted job={0} queue={1} steps={2} tasks={3} account={4}",
                 job.mId,
                 job.mStored.queue().name(),
                 Integer.toString(job.mStored.spec().steps().size()),
-                Integer.toString(job.tasksPerOccurrence() * job.mStored.spec().occurrences()));
+                Integer.toString(job.tasksPerOccurrence() * job.mStored.spec().occurrences()),
+                job.mStored.account());
         confirmAccepted(job);
         if (mState.mEarlyCancellations.remove(job.mId)) {
             mLifecycle.finish(job, JobState.CANCELED);
--- a/policy/src/main/java/org/endivetray/policy/job/AccountOrder.java
+++ b/policy/src/main/java/org/endivetray/policy/job/AccountOrder.java
@@ -27,9 +27,10 @@
  * <p>An account has as many entitled jobs as it sends within its rate; which of its jobs these are
  * follows {@link StepRank}, so that an account that exceeds its rate has most of them in time.
  *
- * <p>Within a turn the priority of the account goes first, then that of the queue, then {@link
- * StepRank}. A priority thus decides among equally entitled steps. It neither puts work beyond an
- * account's rate before work within another's, nor late work before work that can be in time.
+ * <p>A priority, first the account's and then the queue's, decides who gets the room that is left:
+ * beyond the shares of late work and beyond the rates. It takes from no account what its weight
+ * entitles it to. Within these turns {@link StepRank} comes after the priority, elsewhere it
+ * decides alone.
  *
  * <p>Invariants: each step is offered room in one turn without a limit, so no room stays free that
  * a waiting step could use.
@@ -194,12 +195,12 @@
                         Waiting::isStarved,
                         Comparator.comparingLong(each -> -each.ageMillis())),
                 starvedCpuMillis);
-        List<Waiting<T>> entitled = select(finite, dispatch::isEntitled, byPriority);
+        List<Waiting<T>> entitled = select(finite, dispatch::isEntitled, byRank);
         List<Waiting<T>> others = select(finite, each -> !dispatch.isEntitled(each), byPriority);
         for (List<Waiting<T>> turn : List.of(entitled, others)) {
-            dispatch.offerAll(select(turn, each -> each.rank().isInTime(), byPriority));
-            dispatch.offerShares(select(turn, each -> !each.rank().isInTime(), byPriority));
-            dispatch.offerAll(turn);
+            dispatch.offerAll(turn.stream().filter(each -> each.rank().isInTime()).toList());
+            dispatch.offerShares(turn.stream().filter(each -> !each.rank().isInTime()).toList());
+            dispatch.offerAll(select(turn, each -> true, byPriority));
         }
         dispatch.offerAll(select(waiting, each -> each.rank().isBestEffort(), byRank));
     }
