Wait for a place near a task's data while that pays

Cause: a task whose rack was full was started elsewhere at once, where it takes farFactor times as long; tasks that belong in one rack were placed without regard to it. The factor comes from the settings, or is learnt. Steps that belong in one rack start in one that holds all of them. Ranks and stall limits use the same durations as before.

--- a/daemon/src/main/java/org/endivetray/daemon/archive/ArchiveTraining.java
+++ b/daemon/src/main/java/org/endivetray/daemon/archive/ArchiveTraining.java
@@ -98,6 +98,7 @@
                 oneSecondMillis,
                 oneSecondMillis,
                 oneSecondMillis,
+                0,
                 LOG_LEVEL);
     }
 
--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -217,7 +217,8 @@
                         mSettings.maxLeaseMillis(),
                         mSettings.stopMillis(),
                         mSettings.retentionMillis(),
-                        mWatchTiming),
+                        mWatchTiming,
+                        mSettings.farFactor()),
                 this::accounts);
     }
 
--- a/daemon/src/main/java/org/endivetray/daemon/job/JobSettings.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobSettings.java
@@ -38,6 +38,8 @@
  * @param graceMillis time from the request to stop until the process is killed, in milliseconds
  * @param silenceMillis time within which changes in the store are in force after open connections
  *     have gone silent, in milliseconds
+ * @param farFactor multiple of its duration that a task takes away from the rack of its data or of
+ *     the rest of its step, 0 if it is to be learnt
  * @param logLevel lowest level that is logged, not null
  */
 public record JobSettings(
@@ -59,6 +61,7 @@
         long retentionMillis,
         long graceMillis,
         long silenceMillis,
+        double farFactor,
         String logLevel) {
     private static final int MAX_PORT = 65_535;
     private static final long DEFAULT_STOP_MILLIS = 1_000;
@@ -130,6 +133,7 @@
                         reader.positive("retentionSeconds", MILLIS_PER_SECOND),
                         reader.positive("graceSeconds", MILLIS_PER_SECOND),
                         reader.positiveOr("silenceMillis", DEFAULT_SILENCE_MILLIS),
+                        reader.factorOrZero("farFactor"),
                         root.path("logLevel").asText("INFO"));
         reader.check();
         return settings;
@@ -172,6 +176,15 @@
             return mRoot.has(key) ? positive(key, 1) : absent;
         }
 
+        /** Returns a factor of 1 or more, 0 if the key is absent. */
+        private double factorOrZero(String key) {
+            JsonNode node = mRoot.path(key);
+            if (!node.isMissingNode() && (!node.isNumber() || node.doubleValue() < 1)) {
+                mErrors.add(key + ": must be a number of 1 or more: " + node);
+            }
+            return node.asDouble();
+        }
+
         private Address address(String key) {
             String text = mRoot.path(key).asText();
             int colon = text.lastIndexOf(':');
--- a/daemon/src/main/java/org/endivetray/daemon/job/ShardLifecycle.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/ShardLifecycle.java
@@ -15,6 +15,7 @@
 import org.endivetray.daemon.job.shard.ShardContext;
 import org.endivetray.platform.SharedStore.Condition;
 import org.endivetray.policy.job.DurationModel;
+import org.endivetray.policy.job.FarFactor;
 
 /**
  * Creates the shards that this daemon acquires, runs their timed work and removes them once they
@@ -52,7 +53,12 @@
             return;
         }
         mContext.metrics().onTakeover(shard);
-        DurationModel durations = mDurations.computeIfAbsent(shard, ignored -> new DurationModel());
+        DurationModel durations =
+                mDurations.computeIfAbsent(
+                        shard,
+                        ignored ->
+                                new DurationModel(
+                                        FarFactor.configured(mContext.limits().farFactor())));
         Shard acquired =
                 new Shard(
                         mContext,
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -30,7 +30,7 @@
         mState = state;
         mLifecycle = lifecycle;
         mDurations = durations;
-        mMinions = new MinionSelector(context, state);
+        mMinions = new MinionSelector(context, state, durations);
     }
 
     /** Starts the waiting tasks that are ready and for which a minion has room. */
@@ -41,6 +41,7 @@
             collect(job, nowNanos, nowMillis, candidates);
         }
         candidates.sort(Comparator.comparing(Candidate::rank));
+        mMinions.beginPass(nowNanos);
         int waiting = 0;
         for (Candidate candidate : candidates) {
             waiting += place(candidate.step(), nowNanos);
@@ -97,11 +98,8 @@
         long objectiveMillis =
                 Math.round(job.mStored.queue().stretch() * criticalPathMillis)
                         + job.mStored.queue().targetLatencyMillis();
-        return StepRank.of(
-                objectiveMillis - ageMillis - remainingMillis,
-                remainingMillis,
-                ageMillis,
-                workCoreSeconds);
+        step.mSlackMillis = objectiveMillis - ageMillis - remainingMillis;
+        return StepRank.of(step.mSlackMillis, remainingMillis, ageMillis, workCoreSeconds);
     }
 
     private long expectedMillis(StepEntry step) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSelector.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSelector.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.endivetray.job.StepSpec;
+import org.endivetray.policy.job.DurationModel;
 
 /**
  * Chooses the minion on which a task starts, and requests the tickets that it needs there.
@@ -22,10 +23,17 @@
 
     private final ShardContext mContext;
     private final ShardState mState;
+    private final NearPlaces mNearPlaces;
 
-    MinionSelector(ShardContext context, ShardState state) {
+    MinionSelector(ShardContext context, ShardState state, DurationModel durations) {
         mContext = context;
         mState = state;
+        mNearPlaces = new NearPlaces(context, state, durations);
+    }
+
+    /** Begins a pass of the dispatcher, in which steps are given in the order of their ranks. */
+    void beginPass(long nowNanos) {
+        mNearPlaces.beginPass(nowNanos);
     }
 
     /** Returns the ticket with which a task of a step may start on a minion, empty if none. */
@@ -34,14 +42,23 @@
     }
 
     /**
-     * Returns the minion on which to start a task of a step, null if there is none. A quarantined
-     * minion is chosen only for a long-running task that can run on no other; the failures of other
-     * tasks are limited, so that those wait.
+     * Returns the minion on which to start a task of a step, null if there is none or if it waits
+     * for a near one. A quarantined minion is chosen only for a long-running task that can run on
+     * no other; the failures of other tasks are limited, so that those wait.
      */
     MinionSession choose(StepEntry step, long nowNanos) {
         MinionSession best = choose(step, nowNanos, false);
         boolean mayProbe = best == null && step.mSpec.longRunning();
-        return mayProbe && !hasSoundMinion(step, nowNanos) ? choose(step, nowNanos, true) : best;
+        if (mayProbe && !hasSoundMinion(step, nowNanos)) {
+            best = choose(step, nowNanos, true);
+        }
+        boolean waits = best != null && mNearPlaces.waits(step, best, nowNanos);
+        if (best == null || waits) {
+            mNearPlaces.onNotPlaced(step, waits, nowNanos);
+            return null;
+        }
+        mNearPlaces.onPlaced(step, best, nowNanos);
+        return best;
     }
 
     /** Returns whether a step can run on a minion that is not in quarantine, now or later. */
@@ -75,11 +92,12 @@
             }
             if (isAdvised && ticket(step, minion, nowNanos).isEmpty()) {
                 if (!step.mTickets.wasRequested(minion.id())) {
-                    unrequested.add(minion.id());
+                    boolean isNear = mNearPlaces.isNear(step, minion, nowNanos);
+                    unrequested.add(isNear ? 0 : unrequested.size(), minion.id());
                 }
                 continue;
             }
-            double score = score(step, minion);
+            double score = score(step, minion, nowNanos);
             if (score > bestScore) {
                 best = minion;
                 bestScore = score;
@@ -97,15 +115,24 @@
 
     private static boolean isEligible(
             StepEntry step, MinionSession minion, long nowNanos, boolean isProbe) {
-        StepSpec spec = step.mSpec;
         boolean mayStart =
                 isProbe
-                        ? minion.isAvailable(nowNanos) && minion.mHealth.mayProbe(nowNanos)
-                        : minion.isSchedulable(nowNanos);
-        return mayStart
-                && minion.mStartsInFlight < MAX_STARTS_IN_FLIGHT
-                && minion.fits(spec)
-                && hasLabel(spec, minion)
+                        ? minion.isAvailable(nowNanos)
+                                && minion.mHealth.mayProbe(nowNanos)
+                                && allows(step, minion)
+                        : isSuitable(step, minion, nowNanos);
+        return mayStart && minion.mStartsInFlight < MAX_STARTS_IN_FLIGHT && minion.fits(step.mSpec);
+    }
+
+    /** Returns whether a task of a step could be started on a minion now if it had room. */
+    static boolean isSuitable(StepEntry step, MinionSession minion, long nowNanos) {
+        return minion.isSchedulable(nowNanos) && allows(step, minion);
+    }
+
+    /** Returns whether a step allows one more of its tasks on a minion. */
+    private static boolean allows(StepEntry step, MinionSession minion) {
+        StepSpec spec = step.mSpec;
+        return hasLabel(spec, minion)
                 && (spec.maxPerMinion() == 0 || step.countOn(minion) < spec.maxPerMinion());
     }
 
@@ -119,10 +146,9 @@
      *
      * <p>A best-effort task prefers minions with few serving tasks, then those with the highest
      * share of free CPU. A serving task prefers minions with few serving tasks, then those with the
-     * lowest share. Any other task prefers minions in the rack of its data, then those with the
-     * lowest share.
+     * lowest share. Any other task prefers near minions, then those with the lowest share.
      */
-    private static double score(StepEntry step, MinionSession minion) {
+    private double score(StepEntry step, MinionSession minion, long nowNanos) {
         StepSpec spec = step.mSpec;
         double free = minion.freeCpuMillis() / (double) Math.max(1, minion.info().cpuMillis());
         if (spec.fills()) {
@@ -131,9 +157,7 @@
         if (spec.servesRequests()) {
             return -servingTasks(minion) - free;
         }
-        boolean isNearData =
-                spec.dataRack().isEmpty() || minion.info().labels().contains(spec.dataRack());
-        return (isNearData ? 2 : 0) - free;
+        return (mNearPlaces.isNear(step, minion, nowNanos) ? 2 : 0) - free;
     }
 
     private static int servingTasks(MinionSession minion) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
@@ -144,17 +144,37 @@
 
     /** Returns whether a task of a step fits into the free resources. */
     boolean fits(StepSpec spec) {
-        int cpuMillis = mUsedCpuMillis + spec.reservedCpuMillis();
-        int memoryMb = mUsedMemoryMb + spec.memoryMb();
-        int gpus = mUsedGpus + spec.gpus();
+        return countThatFit(spec, 0, 0, 0) > 0;
+    }
+
+    /**
+     * Returns how many tasks of a step fit into the resources that are free once those of ended
+     * runs are.
+     *
+     * @param releasedCpuMillis CPU that the runs release, in thousandths of a core
+     * @param releasedMemoryMb memory that they release, in megabytes
+     * @param releasedGpus number of accelerators that they release
+     */
+    int countThatFit(StepSpec spec, int releasedCpuMillis, int releasedMemoryMb, int releasedGpus) {
+        int cpuMillis = mInfo.cpuMillis() - mUsedCpuMillis + releasedCpuMillis;
+        int memoryMb = mInfo.memoryMb() - mUsedMemoryMb + releasedMemoryMb;
+        int gpus = mInfo.gpus() - mUsedGpus + releasedGpus;
         for (StepSpec orphan : mOrphans) {
-            cpuMillis += orphan.reservedCpuMillis();
-            memoryMb += orphan.memoryMb();
-            gpus += orphan.gpus();
+            cpuMillis -= orphan.reservedCpuMillis();
+            memoryMb -= orphan.memoryMb();
+            gpus -= orphan.gpus();
+        }
+        return Math.min(
+                times(spec.reservedCpuMillis(), cpuMillis),
+                Math.min(times(spec.memoryMb(), memoryMb), times(spec.gpus(), gpus)));
+    }
+
+    /** Returns how many times a need fits into what is free, 0 if that is negative. */
+    private static int times(int need, int free) {
+        if (free < 0) {
+            return 0;
         }
-        return cpuMillis <= mInfo.cpuMillis()
-                && memoryMb <= mInfo.memoryMb()
-                && gpus <= mInfo.gpus();
+        return need == 0 ? Integer.MAX_VALUE : free / need;
     }
 
     /** Forgets the runs without a task that an earlier listing has named. */
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/StepEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/StepEntry.java
@@ -25,6 +25,12 @@
     int mWaitingCount;
     PlacementTickets mTickets;
 
+    /** Time that the step can still wait and meet its job's objective, as ranked last. */
+    long mSlackMillis;
+
+    /** Time at which tasks began to wait for a near place, 0 if none does. */
+    long mNearWaitNanos;
+
     StepEntry(OccurrenceEntry occurrence, int number, StepSpec spec) {
         mJob = occurrence.mJob;
         mOccurrence = occurrence;
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskLifecycle.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskLifecycle.java
@@ -288,7 +288,9 @@
             case DONE -> {
                 if (isCurrent && task.mCheckpoint.isEmpty()) {
                     mDurations.onDone(
-                            task.mStep.kind(), TimeUnit.NANOSECONDS.toMillis(workedNanos));
+                            task.mStep.kind(),
+                            TimeUnit.NANOSECONDS.toMillis(workedNanos),
+                            NearPlaces.isAway(task.mStep, minion, mState));
                 }
                 mQuarantine.onDone(minion);
                 onDone(task, ended.run(), isCurrent);
--- a/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
@@ -55,6 +55,24 @@
     private final Histogram mAnswerTime =
             histogram("endivetray_job_answer_seconds", "Time from a request to its answer.");
 
+    private final Counter mNearWaits =
+            counter(
+                    "endivetray_near_waits",
+                    "Waits for a place near a task's data by step: begun, or by task: how they"
+                            + " ended.",
+                    "pool",
+                    "event");
+    private final Counter mNearWaitGain =
+            counter(
+                    "endivetray_near_wait_gain_seconds",
+                    "Time by which tasks ended earlier since they waited for a near place.",
+                    "pool");
+    private final Counter mNearWaitRegret =
+            counter(
+                    "endivetray_near_wait_regret_seconds",
+                    "Time by which tasks ended later since they waited for a near place.",
+                    "pool");
+
     private Counter counter(String name, String help, String... labels) {
         return Counter.builder().name(name).help(help).labelNames(labels).register(mRegistry);
     }
@@ -101,6 +119,26 @@
         mHeldRecordBytes.set(use.recordBytes());
     }
 
+    /** Records that tasks of a step began to wait for a near place. */
+    public void onNearWaitBegun(String pool) {
+        mNearWaits.labelValues(pool, "begun").inc();
+    }
+
+    /**
+     * Records that a task which has waited for a near place was started.
+     *
+     * @param isNear whether it was started near its data
+     * @param gainMillis time that this saves, in milliseconds, negative if it costs time
+     */
+    public void onNearWaitEnded(String pool, boolean isNear, long gainMillis) {
+        mNearWaits.labelValues(pool, isNear ? "near" : "away").inc();
+        if (gainMillis >= 0) {
+            mNearWaitGain.labelValues(pool).inc(gainMillis / 1e3);
+        } else {
+            mNearWaitRegret.labelValues(pool).inc(-gainMillis / 1e3);
+        }
+    }
+
     /** Records the time from the acceptance of a job to its first task start, in nanoseconds. */
     public void onFirstStart(long nanos) {
         mStartDelay.observe(nanos / 1e9);
--- /dev/null
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/NearPlacesTest.java
@@ -0,0 +1,244 @@
+package org.endivetray.daemon.job.shard;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.endivetray.daemon.job.shard.VirtualMinions.Start;
+import org.endivetray.job.MinionInfo;
+import org.endivetray.job.StepSpec;
+import org.endivetray.job.TaskEnd;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests that tasks wait for a place in the rack of their data, or of their step, while that pays.
+ *
+ * <p>Each minion has 8 cores; the minions "p" are in one rack and "q" in another one.
+ *
+ * <p>This class is not thread-safe.
+ */
+class NearPlacesTest {
+    private static final double FAR_FACTOR = 4;
+    private static final long SHORT_MILLIS = 500;
+    private static final long LONG_MILLIS = 5_000;
+
+    /** Time that the ends and starts of runs take to be ordered and listed. */
+    private static final long ORDER_MILLIS = 300;
+
+    private final ShardHarness mHarness = new ShardHarness();
+
+    /** Returns a step of tasks on whole minions. */
+    private static StepSpec step(int count, long estimateMillis, String dataRack) {
+        return step(count, estimateMillis, false, false, dataRack);
+    }
+
+    private static StepSpec step(
+            int count, long estimateMillis, boolean gang, boolean sameRack, String dataRack) {
+        return new StepSpec(
+                count,
+                8_000,
+                100,
+                0,
+                estimateMillis,
+                List.of(),
+                false,
+                gang,
+                sameRack,
+                "",
+                dataRack,
+                0,
+                false,
+                false,
+                "",
+                0,
+                false,
+                -1);
+    }
+
+    private Shard startWith(String... minions) {
+        mHarness.mFarFactor = FAR_FACTOR;
+        for (String minion : minions) {
+            mHarness.addMinion(minion, minion.substring(0, 1));
+        }
+        Shard shard = mHarness.takeOver();
+        mHarness.run(ORDER_MILLIS, shard);
+        return shard;
+    }
+
+    private void letTasksTake(long millis) {
+        mHarness.mMinions.mBehaviour =
+                (task, run) -> new VirtualMinions.Outcome(millis, TaskEnd.DONE);
+    }
+
+    /** Returns the minions on which tasks of the job with a number have been started. */
+    private List<String> minionsOf(int job) {
+        return mHarness.mMinions.mStarts.stream()
+                .filter(start -> start.task().startsWith(ShardHarness.id(job)))
+                .map(Start::minion)
+                .toList();
+    }
+
+    private Set<String> racksOf(int job) {
+        return minionsOf(job).stream()
+                .map(minion -> minion.substring(0, 1))
+                .collect(Collectors.toSet());
+    }
+
+    @Test
+    void aTaskWaitsForThePlaceInTheRackOfItsDataThatIsDueSoon() {
+        Shard shard = startWith("p1", "q1");
+        letTasksTake(SHORT_MILLIS);
+        mHarness.submit(shard, 1, step(1, SHORT_MILLIS, "p"));
+        mHarness.run(ORDER_MILLIS, shard);
+        mHarness.submit(shard, 2, step(1, SHORT_MILLIS, "p"));
+        mHarness.run(100, shard);
+        assertThat(minionsOf(2)).isEmpty();
+        mHarness.run(SHORT_MILLIS, shard);
+        assertThat(minionsOf(2)).containsExactly("p1");
+    }
+
+    @Test
+    void aTaskStartsAwayAtOnceIfThePlaceInItsRackIsDueLate() {
+        Shard shard = startWith("p1", "q1");
+        letTasksTake(LONG_MILLIS);
+        mHarness.submit(shard, 1, step(1, LONG_MILLIS, "p"));
+        mHarness.run(ORDER_MILLIS, shard);
+        mHarness.submit(shard, 2, step(1, SHORT_MILLIS, "p"));
+        mHarness.run(100, shard);
+        assertThat(minionsOf(2)).containsExactly("q1");
+    }
+
+    @Test
+    void manyTasksForOneRackDoNotQueueThereWhileOtherPlacesAreFree() {
+        Shard shard = startWith("p1", "q1", "q2", "q3", "q4", "q5", "q6");
+        letTasksTake(SHORT_MILLIS);
+        mHarness.submit(shard, 1, step(1, SHORT_MILLIS, "p"));
+        mHarness.run(ORDER_MILLIS, shard);
+        for (int job = 2; job <= 7; job++) {
+            mHarness.submit(shard, job, step(1, SHORT_MILLIS, "p"));
+        }
+        mHarness.run(100, shard);
+        long away =
+                mHarness.mMinions.mStarts.stream()
+                        .filter(start -> start.minion().startsWith("q"))
+                        .count();
+        assertThat(away).isEqualTo(5);
+    }
+
+    @Test
+    void aPlaceThatAWaitingTaskLeavesIsTakenByAnotherTaskAtOnce() {
+        Shard shard = startWith("p1", "q1");
+        letTasksTake(SHORT_MILLIS);
+        mHarness.submit(shard, 1, step(1, SHORT_MILLIS, "p"));
+        mHarness.run(ORDER_MILLIS, shard);
+        mHarness.submit(shard, 2, step(1, SHORT_MILLIS, "p"));
+        mHarness.submit(shard, 3, step(1, SHORT_MILLIS, ""));
+        mHarness.run(100, shard);
+        assertThat(minionsOf(2)).isEmpty();
+        assertThat(minionsOf(3)).containsExactly("q1");
+    }
+
+    @Test
+    void aWaitIsBoundedIfThePlaceDoesNotBecomeFree() {
+        Shard shard = startWith("p1", "q1");
+        letTasksTake(LONG_MILLIS);
+        mHarness.submit(shard, 1, step(1, SHORT_MILLIS, "p"));
+        mHarness.run(ORDER_MILLIS, shard);
+        mHarness.submit(shard, 2, step(1, SHORT_MILLIS, "p"));
+        mHarness.run(100, shard);
+        assertThat(minionsOf(2)).isEmpty();
+        long lossMillis = Math.round((FAR_FACTOR - 1) * SHORT_MILLIS);
+        mHarness.run(lossMillis + ORDER_MILLIS, shard);
+        assertThat(minionsOf(2)).containsExactly("q1");
+    }
+
+    @Test
+    void aWaitEndsIfTheMinionsOfTheRackAreDraining() {
+        Shard shard = startWith("p1", "q1");
+        letTasksTake(LONG_MILLIS);
+        mHarness.submit(shard, 1, step(1, SHORT_MILLIS, "p"));
+        mHarness.run(ORDER_MILLIS, shard);
+        mHarness.submit(shard, 2, step(1, SHORT_MILLIS, "p"));
+        mHarness.run(100, shard);
+        assertThat(minionsOf(2)).isEmpty();
+        MinionInfo near = mHarness.mRegistered.get(0);
+        mHarness.mRegistered.set(
+                0,
+                new MinionInfo(
+                        near.id(),
+                        near.pool(),
+                        near.host(),
+                        near.port(),
+                        near.zone(),
+                        true,
+                        near.cpuMillis(),
+                        near.memoryMb(),
+                        near.gpus(),
+                        near.labels(),
+                        near.bornMillis()));
+        mHarness.run(150, shard);
+        assertThat(minionsOf(2)).containsExactly("q1");
+    }
+
+    @Test
+    void aWaitEndsIfTheRackIsLost() {
+        Shard shard = startWith("p1", "q1");
+        letTasksTake(LONG_MILLIS);
+        mHarness.submit(shard, 1, step(1, SHORT_MILLIS, "p"));
+        mHarness.run(ORDER_MILLIS, shard);
+        mHarness.submit(shard, 2, step(1, SHORT_MILLIS, "p"));
+        mHarness.run(100, shard);
+        mHarness.mRegistered.remove(0);
+        mHarness.run(150, shard);
+        assertThat(minionsOf(2)).containsExactly("q1");
+    }
+
+    @Test
+    void tasksThatBelongInOneRackStartInTheRackThatHoldsAllOfThem() {
+        Shard shard = startWith("p1", "p2", "q1", "q2", "q3");
+        letTasksTake(SHORT_MILLIS);
+        mHarness.submit(shard, 1, step(3, SHORT_MILLIS, false, true, ""));
+        mHarness.run(100, shard);
+        assertThat(racksOf(1)).containsExactly("q");
+        mHarness.submit(shard, 2, step(2, SHORT_MILLIS, true, true, ""));
+        mHarness.run(100, shard);
+        assertThat(racksOf(2)).containsExactly("p");
+    }
+
+    @Test
+    void aGangThatBelongsInOneRackWaitsForItAsAWhole() {
+        Shard shard = startWith("p1", "p2", "q1");
+        letTasksTake(SHORT_MILLIS);
+        mHarness.submit(shard, 1, step(1, SHORT_MILLIS, "p"));
+        mHarness.run(ORDER_MILLIS, shard);
+        mHarness.submit(shard, 2, step(2, SHORT_MILLIS, true, true, ""));
+        mHarness.run(100, shard);
+        assertThat(minionsOf(2)).isEmpty();
+        mHarness.run(SHORT_MILLIS, shard);
+        assertThat(minionsOf(2)).containsExactlyInAnyOrder("p1", "p2");
+    }
+
+    @Test
+    void aGangThatBelongsInOneRackIsSpreadIfNoRackHoldsAllOfIt() {
+        Shard shard = startWith("p1", "q1");
+        letTasksTake(SHORT_MILLIS);
+        mHarness.submit(shard, 1, step(2, SHORT_MILLIS, true, true, ""));
+        mHarness.run(100, shard);
+        assertThat(minionsOf(1)).containsExactlyInAnyOrder("p1", "q1");
+    }
+
+    @Test
+    void noTaskWaitsWhileTheFactorIsNotLearnt() {
+        Shard shard = startWith("p1", "q1");
+        mHarness.mFarFactor = 0;
+        shard = mHarness.takeOver();
+        mHarness.run(ORDER_MILLIS, shard);
+        letTasksTake(SHORT_MILLIS);
+        mHarness.submit(shard, 1, step(1, SHORT_MILLIS, "p"));
+        mHarness.run(ORDER_MILLIS, shard);
+        mHarness.submit(shard, 2, step(1, SHORT_MILLIS, "p"));
+        mHarness.run(100, shard);
+        assertThat(minionsOf(2)).containsExactly("q1");
+    }
+}
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
@@ -17,6 +17,7 @@
 import org.endivetray.job.StepSpec;
 import org.endivetray.platform.SharedStore.Condition;
 import org.endivetray.policy.job.DurationModel;
+import org.endivetray.policy.job.FarFactor;
 
 /**
  * Successive owners of the shard of one pool, on a virtual clock.
@@ -38,6 +39,9 @@
     final MemoryUse mMemory = new MemoryUse();
     boolean mMayAct = true;
 
+    /** Multiple of its duration that a task takes away from its data, 0 if it is learnt. */
+    double mFarFactor;
+
     /** The client accounts of the configuration in force. */
     ClientAccounts mAccounts = ClientAccounts.NONE;
 
@@ -48,6 +52,11 @@
         mRegistered.add(mMinions.add(id, POOL, 8_000));
     }
 
+    /** Adds a minion in a rack to the pool and registers it. */
+    void addMinion(String id, String rack) {
+        mRegistered.add(mMinions.add(id, POOL, 8_000, rack));
+    }
+
     /** Adds minions and returns an owner of the pool's shard that has been at work for a while. */
     Shard startWith(String... minions) {
         for (String minion : minions) {
@@ -82,7 +91,7 @@
                         context,
                         POOL,
                         new Condition(JobKeys.OWNER_PREFIX + POOL, token),
-                        new DurationModel(),
+                        new DurationModel(FarFactor.configured(mFarFactor)),
                         lost -> {});
         shard.onRegistrations(mRegistered);
         mShards.add(shard);
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualMinions.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualMinions.java
@@ -76,9 +76,14 @@
      * @param cpuMillis its CPU, in thousandths of a core
      */
     MinionInfo add(String id, String pool, int cpuMillis) {
+        return add(id, pool, cpuMillis, "r1");
+    }
+
+    /** Adds a minion in a rack. */
+    MinionInfo add(String id, String pool, int cpuMillis, String rack) {
         MinionInfo info =
                 new MinionInfo(
-                        id, pool, id, 1, "z", false, cpuMillis, 64_000, 0, List.of("a", "r1"), 1);
+                        id, pool, id, 1, "z", false, cpuMillis, 64_000, 0, List.of("a", rack), 1);
         mMinions.put(id, new Minion(info));
         return info;
     }
