--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/AccountDispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/AccountDispatcher.java
@@ -118,7 +118,7 @@
                 aheadCoreSeconds += step.mWaitingCount * coreSeconds(step);
             }
         }
-        boolean isSteady = mState.mUnreconciledMinions.isEmpty();
+        boolean isSteady = mState.mInheritedRuns.isReconciled();
         double usedCpuMillis = 0;
         double runningCoreSeconds = 0;
         for (MinionSession minion : mState.mMinions.values()) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -33,7 +33,7 @@
         mState = state;
         mLifecycle = lifecycle;
         mDurations = durations;
-        mMinions = new MinionSelector(context, state);
+        mMinions = new MinionSelector(context, state, durations);
         mRoom = room;
         mAccounts = new AccountDispatcher(context, state, durations);
     }
@@ -46,6 +46,7 @@
             collect(job, nowNanos, nowMillis, candidates);
         }
         mRoom.count(nowNanos);
+        mMinions.beginPass(nowNanos);
         if (mContext.accounts().get().isEnforced()) {
             mAccounts.run(
                     candidates, (step, maxTasks) -> place(step, maxTasks, nowNanos), nowNanos);
@@ -107,11 +108,8 @@
         long objectiveMillis =
                 Math.round(job.mStored.queue().stretch() * criticalPathMillis)
                         + job.mStored.queue().targetLatencyMillis();
-        return StepRank.of(
-                objectiveMillis - ageMillis - remainingMillis,
-                remainingMillis,
-                ageMillis,
-                workCoreSeconds);
+        step.mSlackMillis = objectiveMillis - ageMillis - remainingMillis;
+        return StepRank.of(step.mSlackMillis, remainingMillis, ageMillis, workCoreSeconds);
     }
 
     private long expectedMillis(StepEntry step) {
