Bound what a daemon holds of requests that are not answered

Cause: a body was gathered whole before its length was judged; connections, pipelined requests, unread answers and incomplete frames had no bound. Change: room for a body is reserved before it is read, out of one budget with a share for small bodies, and returned however the request ends. What does not fit is answered with 503 before it is handed on; a slow body gives way while others wait. The limit of a body is judged at its head or as its bytes come. Connections of each port are limited; idle ones give way first. Incomplete frames of peers have a budget of their own. Settings intakeBytes, maxConnections and maxInnerConnections; counters and one log line in 5 s. Heads of up to 16,384 bytes, as the interface says; 8,192 before. Ruled out: closing the connection as soon as the limit is reached, which loses the answer; the rest is discarded for at most a second.

--- a/daemon/src/main/java/org/endivetray/daemon/archive/ArchiveTraining.java
+++ b/daemon/src/main/java/org/endivetray/daemon/archive/ArchiveTraining.java
@@ -19,6 +19,7 @@
 import org.endivetray.daemon.job.JobDaemon;
 import org.endivetray.daemon.job.JobSettings;
 import org.endivetray.daemon.observe.LogSetup;
+import org.endivetray.policy.intake.IntakeLimits;
 
 /**
  * Performs the training run for the class data sharing archive, which loads the classes that a
@@ -98,6 +99,7 @@
                 oneSecondMillis,
                 oneSecondMillis,
                 oneSecondMillis,
+                IntakeLimits.ofHeap(Runtime.getRuntime().maxMemory()),
                 LOG_LEVEL);
     }
 
--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -137,14 +137,18 @@
                 new MinionDirectory(
                         mStore, mExecutor, mWatchTiming, mShards::hasShards, this::onMinions);
         mRouter = router(local, peers, metrics);
-        mHttpServer = new SiteHttpServer(mVertx, mRouter);
+        mHttpServer =
+                new SiteHttpServer(
+                        mVertx, mRouter, settings.intake(), metrics::onRefusedBeforeReceipt);
+        metrics.observeIntake(mHttpServer::heldBytes, mHttpServer::openConnections);
         mPeerServer =
                 new PeerServer(
                         mVertx,
                         settings.name(),
                         incarnation,
-                        new PeerMessageHandler(mRouter, pools, new StoreCallHandler(mStore)));
-        mMetricsServer = new MetricsServer(mVertx, metrics);
+                        new PeerMessageHandler(mRouter, pools, new StoreCallHandler(mStore)),
+                        settings.intake());
+        mMetricsServer = new MetricsServer(mVertx, metrics, settings.intake());
         mOwnership =
                 new OwnershipManager(
                         mStore,
--- a/daemon/src/main/java/org/endivetray/daemon/job/JobSettings.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobSettings.java
@@ -9,6 +9,7 @@
 import org.endivetray.EndivetrayException;
 import org.endivetray.Json;
 import org.endivetray.ResultCode;
+import org.endivetray.policy.intake.IntakeLimits;
 
 /**
  * The validated settings of a daemon that schedules jobs.
@@ -38,6 +39,7 @@
  * @param graceMillis time from the request to stop until the process is killed, in milliseconds
  * @param silenceMillis time within which changes in the store are in force after open connections
  *     have gone silent, in milliseconds
+ * @param intake what may be held of requests and messages that are not answered, not null
  * @param logLevel lowest level that is logged, not null
  */
 public record JobSettings(
@@ -59,8 +61,10 @@
         long retentionMillis,
         long graceMillis,
         long silenceMillis,
+        IntakeLimits intake,
         String logLevel) {
     private static final int MAX_PORT = 65_535;
+    private static final int MAX_CONNECTIONS = 100_000;
     private static final long DEFAULT_STOP_MILLIS = 1_000;
     private static final long DEFAULT_SILENCE_MILLIS = 3_000;
     private static final long MILLIS_PER_SECOND = 1_000;
@@ -130,6 +134,7 @@
                         reader.positive("retentionSeconds", MILLIS_PER_SECOND),
                         reader.positive("graceSeconds", MILLIS_PER_SECOND),
                         reader.positiveOr("silenceMillis", DEFAULT_SILENCE_MILLIS),
+                        reader.intake(),
                         root.path("logLevel").asText("INFO"));
         reader.check();
         return settings;
@@ -172,6 +177,35 @@
             return mRoot.has(key) ? positive(key, 1) : absent;
         }
 
+        private IntakeLimits intake() {
+            long heapBytes = Runtime.getRuntime().maxMemory();
+            IntakeLimits absent = IntakeLimits.ofHeap(heapBytes);
+            return new IntakeLimits(
+                    inRange(
+                            "intakeBytes",
+                            absent.bodyBytes(),
+                            IntakeLimits.MIN_BODY_BYTES,
+                            heapBytes / IntakeLimits.MAX_HEAP_SHARE_DIVISOR),
+                    (int) inRange("maxConnections", absent.connections(), 1, MAX_CONNECTIONS),
+                    (int)
+                            inRange(
+                                    "maxInnerConnections",
+                                    absent.innerConnections(),
+                                    1,
+                                    MAX_CONNECTIONS));
+        }
+
+        private long inRange(String key, long absent, long min, long max) {
+            JsonNode node = mRoot.path(key);
+            if (node.isMissingNode()) {
+                return absent;
+            }
+            if (!node.isIntegralNumber() || node.asLong() < min || node.asLong() > max) {
+                mErrors.add(key + ": must be from " + min + " to " + max + ": " + node);
+            }
+            return node.asLong();
+        }
+
         private Address address(String key) {
             String text = mRoot.path(key).asText();
             int colon = text.lastIndexOf(':');
--- a/daemon/src/main/java/org/endivetray/daemon/job/MetricsServer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/MetricsServer.java
@@ -2,7 +2,11 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
 import org.endivetray.daemon.observe.JobMetrics;
+import org.endivetray.platform.site.PortConnections;
+import org.endivetray.policy.intake.IntakeLimits;
 
 /**
  * Serves the metrics in text form over HTTP.
@@ -12,16 +16,26 @@
 final class MetricsServer {
     private final Vertx mVertx;
     private final JobMetrics mMetrics;
+    private final PortConnections mConnections;
 
-    MetricsServer(Vertx vertx, JobMetrics metrics) {
+    MetricsServer(Vertx vertx, JobMetrics metrics, IntakeLimits limits) {
         mVertx = vertx;
         mMetrics = metrics;
+        mConnections =
+                new PortConnections(limits.innerConnections(), metrics::onRefusedBeforeReceipt);
     }
 
     Future<Void> start(String host, int port) {
-        return mVertx.createHttpServer()
-                .requestHandler(request -> request.response().end(mMetrics.text()))
+        return mConnections
+                .server(mVertx, new HttpServerOptions())
+                .requestHandler(this::onRequest)
                 .listen(port, host)
                 .mapEmpty();
     }
+
+    private void onRequest(HttpServerRequest request) {
+        if (!mConnections.closeIfAnswersAreNotRead(request)) {
+            request.response().end(mMetrics.text());
+        }
+    }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
@@ -2,8 +2,12 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+import org.endivetray.policy.intake.IntakeReason;
 import org.endivetray.policy.job.MemoryLimit;
 
 /**
@@ -31,6 +35,11 @@
             counter("endivetray_task_ends", "Ended runs by kind of end.", "pool", "end");
     private final Counter mTakeovers =
             counter("endivetray_shard_takeovers", "Shards taken over by this daemon.", "pool");
+    private final Counter mRefusedBeforeReceipt =
+            counter(
+                    "endivetray_requests_not_received",
+                    "Requests refused, and connections closed, before receipt, by reason.",
+                    "reason");
     private final Gauge mWaiting =
             Gauge.builder()
                     .name("endivetray_tasks_waiting")
@@ -74,6 +83,30 @@
         mAnswerTime.observe(nanos / 1e9);
     }
 
+    /** Records that a request was refused, or a connection closed, before it was received. */
+    public void onRefusedBeforeReceipt(IntakeReason reason) {
+        mRefusedBeforeReceipt.labelValues(reason.label()).inc();
+    }
+
+    /**
+     * Shows what is held of requests that have not been answered.
+     *
+     * @param heldBytes returns the held bytes, not null
+     * @param openConnections returns the number of open connections of callers, not null
+     */
+    public void observeIntake(LongSupplier heldBytes, IntSupplier openConnections) {
+        GaugeWithCallback.builder()
+                .name("endivetray_request_bytes")
+                .help("Room of the requests that have not been answered, in bytes.")
+                .callback(callback -> callback.call(heldBytes.getAsLong()))
+                .register(mRegistry);
+        GaugeWithCallback.builder()
+                .name("endivetray_caller_connections")
+                .help("Open connections of callers.")
+                .callback(callback -> callback.call(openConnections.getAsInt()))
+                .register(mRegistry);
+    }
+
     /** Records the outcome of a start order. */
     public void onStartOrder(String pool, String outcome) {
         mStarts.labelValues(pool, outcome).inc();
--- /dev/null
+++ b/policy/src/main/java/org/endivetray/policy/intake/IntakeLimits.java
@@ -0,0 +1,43 @@
+package org.endivetray.policy.intake;
+
+/**
+ * The limits of what a daemon holds of requests that it has not answered.
+ *
+ * <p>This class is immutable and thread-safe.
+ *
+ * @param bodyBytes most bytes of the bodies that are held at one time; messages of other daemons
+ *     have as many again
+ * @param connections most open connections of callers
+ * @param innerConnections most open connections of each other port
+ */
+public record IntakeLimits(long bodyBytes, int connections, int innerConnections) {
+    /** Largest body of a request, in bytes, as the interface to callers defines it. */
+    public static final int MAX_BODY_BYTES = 262_144;
+
+    /** Largest head of a request, in bytes, as the interface to callers defines it. */
+    public static final int MAX_HEAD_BYTES = 16_384;
+
+    /** Smallest budget, which holds a body of the largest size beside the share of small ones. */
+    public static final long MIN_BODY_BYTES = 2L * MAX_BODY_BYTES;
+
+    /** Largest share of the heap that the budget may take; the rest holds jobs and copies. */
+    public static final int MAX_HEAP_SHARE_DIVISOR = 4;
+
+    private static final long DEFAULT_BODY_BYTES = 24L << 20;
+    private static final int DEFAULT_HEAP_SHARE_DIVISOR = 8;
+    private static final int DEFAULT_CONNECTIONS = 1_000;
+    private static final int DEFAULT_INNER_CONNECTIONS = 300;
+
+    /**
+     * Returns the limits that are used where the settings have none.
+     *
+     * @param heapBytes the largest heap of the process, in bytes
+     */
+    public static IntakeLimits ofHeap(long heapBytes) {
+        long share = Math.max(MIN_BODY_BYTES, heapBytes / DEFAULT_HEAP_SHARE_DIVISOR);
+        return new IntakeLimits(
+                Math.min(DEFAULT_BODY_BYTES, share),
+                DEFAULT_CONNECTIONS,
+                DEFAULT_INNER_CONNECTIONS);
+    }
+}
--- a/wire/src/main/java/org/endivetray/wire/FrameReader.java
+++ b/wire/src/main/java/org/endivetray/wire/FrameReader.java
@@ -1,24 +1,50 @@
 package org.endivetray.wire;
 
 import io.vertx.core.buffer.Buffer;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.endivetray.EndivetrayException;
 import org.endivetray.ResultCode;
+import org.endivetray.policy.intake.IntakeBudget;
 import org.endivetray.wire.gen.Envelope;
 
 /**
  * Splits the byte stream of a connection into frames and decodes each into a message.
  *
- * <p>Invariants: the bytes of an incomplete frame are buffered until the rest arrives.
+ * <p>Invariants: the bytes of an incomplete frame are buffered until the rest arrives, if there is
+ * room for the whole frame.
  *
  * <p>This class is not thread-safe; it is confined to the event loop of its connection.
  */
 final class FrameReader {
+    private static final IntakeBudget UNLIMITED = new IntakeBudget(Long.MAX_VALUE);
+
     private final Consumer<Envelope> mOnMessage;
+    private final IntakeBudget mBudget;
+    private final Runnable mOnEvicted;
     private Buffer mPending = Buffer.buffer();
 
+    /** Room for the incomplete frame, null if its length is not known. */
+    private IntakeBudget.Reservation mRoom;
+
+    private int mReceivedBytes;
+
+    /** Constructs a reader of frames that this daemon has asked for. */
     FrameReader(Consumer<Envelope> onMessage) {
+        this(onMessage, UNLIMITED, () -> {});
+    }
+
+    /**
+     * Constructs a reader that reserves room for each frame that does not arrive at once.
+     *
+     * @param onMessage handles the messages, not null
+     * @param budget the room of all connections, not null
+     * @param onEvicted closes the connection if its frame must give way, not null
+     */
+    FrameReader(Consumer<Envelope> onMessage, IntakeBudget budget, Runnable onEvicted) {
         mOnMessage = onMessage;
+        mBudget = budget;
+        mOnEvicted = onEvicted;
     }
 
     /**
@@ -26,7 +52,8 @@
      *
      * @param bytes the bytes, in the order in which they were received, not null
      * @throws EndivetrayException with {@link ResultCode#INTERNAL} if a frame is longer than {@link
-     *     EnvelopeCodec#MAX_FRAME_BYTES} or cannot be decoded; the connection must then be closed
+     *     EnvelopeCodec#MAX_FRAME_BYTES} or cannot be decoded, or with {@link ResultCode#RING_FULL}
+     *     if there is no room for it; the connection must then be closed
      */
     void onBytes(Buffer bytes) {
         mPending.appendBuffer(bytes);
@@ -40,8 +67,10 @@
             }
             int start = offset + EnvelopeCodec.LENGTH_PREFIX_BYTES;
             if (mPending.length() - start < length) {
+                reserve(length, mPending.length() - start);
                 break;
             }
+            close();
             offset = start + length;
             mOnMessage.accept(EnvelopeCodec.decode(mPending.getBytes(start, offset)));
         }
@@ -49,4 +78,27 @@
             mPending = mPending.getBuffer(offset, mPending.length());
         }
     }
+
+    private void reserve(int frameBytes, int receivedBytes) {
+        if (mRoom == null) {
+            IntakeBudget.Reservation room = new IntakeBudget.Reservation(mOnEvicted);
+            long nowMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+            if (!mBudget.reserve(room, frameBytes, nowMillis)) {
+                throw new EndivetrayException(
+                        ResultCode.RING_FULL, "no room for a frame of " + frameBytes + " bytes");
+            }
+            mRoom = room;
+            mReceivedBytes = 0;
+        }
+        mBudget.onReceived(mRoom, receivedBytes - mReceivedBytes);
+        mReceivedBytes = receivedBytes;
+    }
+
+    /** Returns the room of the incomplete frame, if there is one. */
+    void close() {
+        if (mRoom != null) {
+            mBudget.release(mRoom);
+            mRoom = null;
+        }
+    }
 }
--- a/wire/src/main/java/org/endivetray/wire/PeerServer.java
+++ b/wire/src/main/java/org/endivetray/wire/PeerServer.java
@@ -5,24 +5,37 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
+import java.util.concurrent.TimeUnit;
+import org.endivetray.policy.intake.ConnectionTable;
+import org.endivetray.policy.intake.IntakeBudget;
+import org.endivetray.policy.intake.IntakeLimits;
 import org.endivetray.wire.gen.Body;
 import org.endivetray.wire.gen.Envelope;
 
 /**
  * Accepts connections from other daemons and replies to the messages on them.
  *
- * <p>Invariants: each message receives at most one reply, which carries the id of the message.
+ * <p>A connection that has sent a whole message is a peer's; others give way to new ones at the
+ * limit of connections.
+ *
+ * <p>Invariants: each message receives at most one reply, which carries the id of the message; the
+ * bytes of incomplete frames and the open connections stay within the limits.
  *
  * <p>This class is thread-safe.
  */
 public final class PeerServer {
+    /** Most bytes of replies that wait until a peer reads them. */
+    private static final int MAX_UNREAD_BYTES = 2 * EnvelopeCodec.MAX_FRAME_BYTES;
+
     private final NetServer mServer;
+    private final IntakeBudget mBudget;
+    private final ConnectionTable<NetSocket> mConnections;
     private final String mLocalName;
     private final long mLocalIncarnation;
     private final MessageHandler mHandler;
 
     /**
-     * Constructs a server that has not been started.
+     * Constructs a server with the limits that follow from the heap, which has not been started.
      *
      * @param vertx supplies the event loops, not null
      * @param localName the name of this daemon, not null
@@ -31,10 +44,35 @@
      */
     public PeerServer(
             Vertx vertx, String localName, long localIncarnation, MessageHandler handler) {
+        this(
+                vertx,
+                localName,
+                localIncarnation,
+                handler,
+                IntakeLimits.ofHeap(Runtime.getRuntime().maxMemory()));
+    }
+
+    /**
+     * Constructs a server that has not been started.
+     *
+     * @param vertx supplies the event loops, not null
+     * @param localName the name of this daemon, not null
+     * @param localIncarnation the incarnation number of this daemon
+     * @param handler handles the messages, not null
+     * @param limits what may be held of messages that are not complete, not null
+     */
+    public PeerServer(
+            Vertx vertx,
+            String localName,
+            long localIncarnation,
+            MessageHandler handler,
+            IntakeLimits limits) {
         mServer = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true));
         mLocalName = localName;
         mLocalIncarnation = localIncarnation;
         mHandler = handler;
+        mBudget = new IntakeBudget(limits.bodyBytes());
+        mConnections = new ConnectionTable<>(limits.innerConnections());
     }
 
     /**
@@ -55,7 +93,14 @@
     }
 
     private void onConnection(NetSocket socket) {
-        FrameReader reader = new FrameReader(message -> reply(socket, message));
+        FrameReader reader =
+                new FrameReader(message -> onMessage(socket, message), mBudget, socket::close);
+        socket.setWriteQueueMaxSize(MAX_UNREAD_BYTES);
+        socket.closeHandler(
+                ignored -> {
+                    reader.close();
+                    mConnections.remove(socket);
+                });
         socket.handler(
                 bytes -> {
                     try {
@@ -65,6 +110,23 @@
                     }
                 });
         socket.exceptionHandler(cause -> socket.close());
+        NetSocket closed = mConnections.add(socket, nowMillis());
+        if (closed != null) {
+            closed.close();
+        }
+    }
+
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    private void onMessage(NetSocket socket, Envelope message) {
+        mConnections.enter(socket, ConnectionTable.Phase.IN_USE, nowMillis());
+        if (socket.writeQueueFull()) {
+            socket.close();
+            return;
+        }
+        reply(socket, message);
     }
 
     private void reply(NetSocket socket, Envelope message) {
