--- a/daemon/src/main/java/org/endivetray/daemon/job/JobSettings.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobSettings.java
@@ -9,6 +9,7 @@
 import org.endivetray.EndivetrayException;
 import org.endivetray.Json;
 import org.endivetray.ResultCode;
+import org.endivetray.policy.intake.IntakeLimits;
 
 /**
  * The validated settings of a daemon that schedules jobs.
@@ -40,6 +41,7 @@
  *     have gone silent, in milliseconds
  * @param farFactor multiple of its duration that a task takes away from the rack of its data or of
  *     the rest of its step, 0 if it is to be learnt
+ * @param intake what may be held of requests and messages that are not answered, not null
  * @param logLevel lowest level that is logged, not null
  */
 public record JobSettings(
@@ -62,8 +64,10 @@
         long graceMillis,
         long silenceMillis,
         double farFactor,
+        IntakeLimits intake,
         String logLevel) {
     private static final int MAX_PORT = 65_535;
+    private static final int MAX_CONNECTIONS = 100_000;
     private static final long DEFAULT_STOP_MILLIS = 1_000;
     private static final long DEFAULT_SILENCE_MILLIS = 3_000;
     private static final long MILLIS_PER_SECOND = 1_000;
@@ -134,6 +138,7 @@
                         reader.positive("graceSeconds", MILLIS_PER_SECOND),
                         reader.positiveOr("silenceMillis", DEFAULT_SILENCE_MILLIS),
                         reader.factorOrZero("farFactor"),
+                        reader.intake(),
                         root.path("logLevel").asText("INFO"));
         reader.check();
         return settings;
@@ -185,6 +190,35 @@
             return node.asDouble();
         }
 
+        private IntakeLimits intake() {
+            long heapBytes = Runtime.getRuntime().maxMemory();
+            IntakeLimits absent = IntakeLimits.ofHeap(heapBytes);
+            return new IntakeLimits(
+                    inRange(
+                            "intakeBytes",
+                            absent.bodyBytes(),
+                            IntakeLimits.MIN_BODY_BYTES,
+                            heapBytes / IntakeLimits.MAX_HEAP_SHARE_DIVISOR),
+                    (int) inRange("maxConnections", absent.connections(), 1, MAX_CONNECTIONS),
+                    (int)
+                            inRange(
+                                    "maxInnerConnections",
+                                    absent.innerConnections(),
+                                    1,
+                                    MAX_CONNECTIONS));
+        }
+
+        private long inRange(String key, long absent, long min, long max) {
+            JsonNode node = mRoot.path(key);
+            if (node.isMissingNode()) {
+                return absent;
+            }
+            if (!node.isIntegralNumber() || node.asLong() < min || node.asLong() > max) {
+                mErrors.add(key + ": must be from " + min + " to " + max + ": " + node);
+            }
+            return node.asLong();
+        }
+
         private Address address(String key) {
             String text = mRoot.path(key).asText();
             int colon = text.lastIndexOf(':');
