Cancel a job that is being stored as soon as it is accepted

Its owner had been asked meanwhile to cancel the job, had said that there was none, and started it: UnconfirmedJobsTest.aJobThatIsCancelledWhileTheStoreIsDownNeverRuns[1] was red once calls were made again (the start came before the cancellation was answered, and the run was stopped after it). Change: a cancellation that reaches the owner while it stores the job takes effect with the acceptance. The answer stays that the job does not exist yet, so the front still keeps it from being accepted elsewhere. The test is unchanged.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
@@ -288,10 +288,16 @@
                 : JobAnswer.noSuchJob();
     }
 
-    /** Cancels a job and answers once the cancellation is stored. */
+    /**
+     * Cancels a job and answers once the cancellation is stored. A job that is being stored is
+     * cancelled as soon as it is accepted, if it is; until then it does not exist.
+     */
     void cancel(String id, Promise<JobAnswer> answer) {
         JobEntry job = mState.mJobs.get(id);
         if (job == null) {
+            if (mReservations.containsKey(id)) {
+                mState.mEarlyCancellations.add(id);
+            }
             answer.complete(JobAnswer.noSuchJob());
             return;
         }
