--- a/policy/src/main/java/org/endivetray/policy/intake/ConnectionTable.java
+++ b/policy/src/main/java/org/endivetray/policy/intake/ConnectionTable.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
@@ -17,9 +18,6 @@
  * @param <C> a connection, compared by identity
  */
 public final class ConnectionTable<C> {
-    /** Time after which a request that is still being received may give way, in milliseconds. */
-    private static final long RECEIVING_MILLIS = 1_000;
-
     private final int mMaxConnections;
     private final Map<C, Entry<C>> mEntries = new HashMap<>();
     private final Map<Phase, Set<Entry<C>>> mByPhase = new EnumMap<>(Phase.class);
@@ -28,29 +26,24 @@
     /** What a connection is used for; those of earlier phases give way first. */
     public enum Phase {
         /** Its request was refused and may still be arriving. */
-        REFUSED(0),
+        REFUSED(true),
         /** It has no request, or the head of one is arriving. */
-        IDLE(0),
-        /** The body of a request is arriving. */
-        RECEIVING(RECEIVING_MILLIS),
+        IDLE(true),
+        /** The body of a request is arriving, so that it has not run. */
+        RECEIVING(true),
         /** A request was received and is not answered, or the peer is known. */
-        IN_USE(Long.MAX_VALUE);
-
-        private final long mKeptMillis;
+        IN_USE(false);
 
-        Phase(long keptMillis) {
-            mKeptMillis = keptMillis;
-        }
+        private final boolean mMayGiveWay;
 
-        private boolean mayGiveWay(long sinceMillis, long nowMillis) {
-            return mKeptMillis == 0 || nowMillis - sinceMillis >= mKeptMillis;
+        Phase(boolean mayGiveWay) {
+            mMayGiveWay = mayGiveWay;
         }
     }
 
     private static final class Entry<C> {
         private final C mConnection;
         private Phase mPhase;
-        private long mSinceMillis;
         private long mUse;
 
         private Entry(C connection) {
@@ -74,14 +67,13 @@
      * Adds a connection without a request.
      *
      * @param connection the connection, not null
-     * @param nowMillis the time on a steady clock, in milliseconds
      * @return the connection that must be closed, which is no longer in the table: the given one if
      *     no other may give way, null if the limit is kept
      */
-    public synchronized C add(C connection, long nowMillis) {
+    public synchronized C add(C connection) {
         C closed = null;
         if (mEntries.size() >= mMaxConnections) {
-            closed = connectionToClose(nowMillis);
+            closed = connectionToClose();
             if (closed == null) {
                 return connection;
             }
@@ -89,17 +81,16 @@
         }
         Entry<C> entry = new Entry<>(connection);
         mEntries.put(connection, entry);
-        enter(entry, Phase.IDLE, nowMillis);
+        enter(entry, Phase.IDLE);
         return closed;
     }
 
-    private C connectionToClose(long nowMillis) {
+    /** Returns the connection that has been longest in the first phase that may give way. */
+    private C connectionToClose() {
         for (Phase phase : Phase.values()) {
-            for (Entry<C> first : mByPhase.get(phase)) {
-                if (phase.mayGiveWay(first.mSinceMillis, nowMillis)) {
-                    return first.mConnection;
-                }
-                break;
+            Iterator<Entry<C>> oldestFirst = mByPhase.get(phase).iterator();
+            if (phase.mMayGiveWay && oldestFirst.hasNext()) {
+                return oldestFirst.next().mConnection;
             }
         }
         return null;
@@ -110,12 +101,12 @@
      *
      * @return number of this use, for {@link #leave}
      */
-    public synchronized long enter(C connection, Phase phase, long nowMillis) {
+    public synchronized long enter(C connection, Phase phase) {
         Entry<C> entry = mEntries.get(connection);
         if (entry != null) {
             mByPhase.get(entry.mPhase).remove(entry);
             entry.mUse = ++mLastUse;
-            enter(entry, phase, nowMillis);
+            enter(entry, phase);
         }
         return mLastUse;
     }
@@ -124,17 +115,16 @@
      * Records that a use has ended and left the connection idle; has no effect if the connection
      * has been used for something else since.
      */
-    public synchronized void leave(C connection, long use, long nowMillis) {
+    public synchronized void leave(C connection, long use) {
         Entry<C> entry = mEntries.get(connection);
         if (entry != null && entry.mUse == use) {
             mByPhase.get(entry.mPhase).remove(entry);
-            enter(entry, Phase.IDLE, nowMillis);
+            enter(entry, Phase.IDLE);
         }
     }
 
-    private void enter(Entry<C> entry, Phase phase, long nowMillis) {
+    private void enter(Entry<C> entry, Phase phase) {
         entry.mPhase = phase;
-        entry.mSinceMillis = nowMillis;
         mByPhase.get(phase).add(entry);
     }
 
--- a/proof/src/test/java/org/endivetray/proof/soak/ClientCrowdTest.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/ClientCrowdTest.java
@@ -126,6 +126,11 @@
         holdsAgainst(CROWD, chunked(16, MAX_BODY_BYTES), 16_384);
     }
 
+    @Test
+    void anOrdinaryClientIsServedBesideManyBodiesInChunksOfOneByte() throws Exception {
+        holdsAgainst(CROWD, chunked(1, 40_000), 16_384);
+    }
+
     @Test
     void aDaemonLivesThroughManySmallBodiesWithoutAnEnd() throws Exception {
         holdsAgainst(CROWD, announced(16_384, 16_383), WHOLE);
--- a/wire/src/main/java/org/endivetray/wire/PeerServer.java
+++ b/wire/src/main/java/org/endivetray/wire/PeerServer.java
@@ -5,7 +5,6 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
-import java.util.concurrent.TimeUnit;
 import org.endivetray.policy.intake.ConnectionTable;
 import org.endivetray.policy.intake.IntakeBudget;
 import org.endivetray.policy.intake.IntakeLimits;
@@ -110,18 +109,14 @@
                     }
                 });
         socket.exceptionHandler(cause -> socket.close());
-        NetSocket closed = mConnections.add(socket, nowMillis());
+        NetSocket closed = mConnections.add(socket);
         if (closed != null) {
             closed.close();
         }
     }
 
-    private static long nowMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    }
-
     private void onMessage(NetSocket socket, Envelope message) {
-        mConnections.enter(socket, ConnectionTable.Phase.IN_USE, nowMillis());
+        mConnections.enter(socket, ConnectionTable.Phase.IN_USE);
         if (socket.writeQueueFull()) {
             socket.close();
             return;
