Let a daemon of many pools change all its shares, and seed the delays

Cause: one commit names at most 30 pools, and always the same 30 of a daemon that owns more, so the others would have got no room (found by reading; no test yet). Delays after conflicts were drawn from an unseeded source.

--- a/daemon/src/main/java/org/endivetray/daemon/job/quota/AccountQuota.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/quota/AccountQuota.java
@@ -187,13 +187,18 @@
     /**
      * Returns the ledger with the shares that the owned pools should have now, the present one if
      * nothing is worth storing.
+     *
+     * @param members the owned pools whose shares may be used, not null
+     * @param maxChanges most pools whose shares may change
+     * @param nowNanos time of the monotonic clock, in nanoseconds
      */
-    QuotaLedger propose(Collection<QuotaMember> members, long nowNanos) {
+    QuotaLedger propose(Collection<QuotaMember> members, int maxChanges, long nowNanos) {
         if (mIsUnreadable) {
             return mLedger;
         }
         Resources cap = cap();
         QuotaLedger proposed = mLedger;
+        int changes = 0;
         for (QuotaMember member : members) {
             String pool = member.pool();
             QuotaMember.AccountLoad load = member.load(mAccount);
@@ -204,7 +209,8 @@
                     mTimers.computeIfAbsent(pool, ignored -> new PoolTimer())
                             .demand(cap, proposed, member, load, nowNanos);
             QuotaShare next = QuotaPolicy.next(cap, proposed, pool, demand, mLastVersion + 1);
-            if (QuotaPolicy.isWorthStoring(cap, proposed, pool, next)) {
+            if (changes < maxChanges && QuotaPolicy.isWorthStoring(cap, proposed, pool, next)) {
+                changes++;
                 proposed = proposed.with(pool, next);
             }
         }
--- a/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaCommit.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaCommit.java
@@ -41,12 +41,11 @@
      */
     static QuotaCommit of(
             AccountQuota quota, List<QuotaMember> members, Set<String> absent, long nowNanos) {
-        List<QuotaMember> changing = members.subList(0, Math.min(MAX_POOLS, members.size()));
         QuotaLedger before = quota.ledger();
-        QuotaLedger ledger = quota.propose(changing, nowNanos);
+        QuotaLedger ledger = quota.propose(members, MAX_POOLS, nowNanos);
         List<Condition> conditions = new ArrayList<>();
         conditions.add(new Condition(quota.key(), quota.version()));
-        for (QuotaMember member : changing) {
+        for (QuotaMember member : members) {
             if (!ledger.share(member.pool()).equals(before.share(member.pool()))) {
                 conditions.add(member.owner());
             }
--- a/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaManager.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaManager.java
@@ -70,7 +70,7 @@
     private final AbsentOwners mAbsentOwners;
     private final Map<String, AccountQuota> mQuotas = new TreeMap<>();
     private final Map<String, Entry> mMembers = new LinkedHashMap<>();
-    private final Random mRandom = new Random();
+    private final Random mRandom = new Random(0);
     private ClientAccounts mAccounts = ClientAccounts.NONE;
     private boolean mIsListing;
     private long mNextListNanos;
@@ -121,6 +121,7 @@
     /** Adds a pool whose owner's key has been claimed. */
     public void add(QuotaMember member) {
         mMembers.put(member.pool(), new Entry(member));
+        mRandom.setSeed(member.owner().version());
         mNextListNanos = mExecutor.nanoTime();
         tick(mExecutor.nanoTime());
     }
--- a/policy/src/test/java/org/endivetray/policy/job/quota/QuotaPolicyTest.java
+++ b/policy/src/test/java/org/endivetray/policy/job/quota/QuotaPolicyTest.java
@@ -118,8 +118,7 @@
     @Test
     void aPoolWhoseEarlierOwnersMayStillStartTasksReturnsNothing() {
         QuotaLedger ledger = ledger(Map.of("a", share(90, 90, 10, 1)));
-        QuotaDemand unsettled =
-                new QuotaDemand(cpu(0), cpu(0), Resources.NONE, false, true, false);
+        QuotaDemand unsettled = new QuotaDemand(cpu(0), cpu(0), Resources.NONE, false, true, false);
         assertThat(QuotaPolicy.next(cpu(100), ledger, "a", unsettled, 2).granted())
                 .isEqualTo(cpu(90));
     }
