--- a/daemon/src/test/java/org/endivetray/daemon/job/quota/QuotaModelTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/quota/QuotaModelTest.java
@@ -135,6 +135,7 @@
     void noInterleavingAfterTheCapWasLoweredExceedsTheHighestCapInForce() {
         List<Step> steps =
                 List.of(Step.SEND, Step.EXECUTE, Step.WATCH, Step.START, Step.END, Step.LEARN_CAP);
+        explore(() -> started(2, 2), steps, List.of(1), 13);
         int states = explore(() -> started(2, 3), steps, List.of(1, 2), 10);
         System.out.println("quota model: lowered cap states=" + states);
         assertThat(states).isGreaterThan(1_000);
