Give old jobs room only once they are late

Cause: a long job that can still be in time counted as one that waits too long, and its running tasks used up the part of the pool that is kept for those. Change: only late jobs older than 30 s get that part, and only what they run counts against it.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/AccountDispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/AccountDispatcher.java
@@ -60,6 +60,7 @@
         limitEntitlements(candidates);
         List<AccountOrder.Waiting<StepEntry>> waiting =
                 candidates.stream().map(candidate -> waiting(candidate, accounts)).toList();
+        waiting.forEach(each -> each.step().mJob.mIsStarved |= each.isStarved());
         long starvedCpuMillis = 0;
         AccountUse use = new AccountUse(sharedCpuMillis(nowNanos));
         waiting.stream()
@@ -71,7 +72,7 @@
                     String account = task.mStep.mJob.mStored.account();
                     use.activate(account, weight(account, accounts));
                     use.add(account, task.mStep.mSpec.reservedCpuMillis());
-                    if (isStarved(task.mStep, nowNanos)) {
+                    if (task.mStep.mJob.mIsStarved) {
                         starvedCpuMillis += task.mStep.mSpec.reservedCpuMillis();
                     }
                 }
@@ -208,10 +209,6 @@
                 step.mSpec.reservedCpuMillis());
     }
 
-    private boolean isStarved(StepEntry step, long nowNanos) {
-        return ageMillis(step, nowNanos) >= AccountOrder.STARVED_MILLIS;
-    }
-
     /** Returns the time since an occurrence was due, or since its job was accepted or loaded. */
     private long ageMillis(StepEntry step, long nowNanos) {
         JobEntry job = step.mJob;
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobEntry.java
@@ -57,6 +57,9 @@
     /** Whether the job gets room as a submission within the rate of its account. */
     boolean mIsEntitled;
 
+    /** Whether the job has been late for so long that it gets room regardless of its account. */
+    boolean mIsStarved;
+
     private final Map<Integer, OccurrenceEntry> mLoaded = new TreeMap<>();
     private final BitSet mDone = new BitSet();
 
--- a/policy/src/main/java/org/endivetray/policy/job/AccountOrder.java
+++ b/policy/src/main/java/org/endivetray/policy/job/AccountOrder.java
@@ -16,8 +16,8 @@
  * others. The other steps get room in these turns:
  *
  * <ol>
- *   <li>steps that have waited for {@value #STARVED_MILLIS} milliseconds, oldest first, as long as
- *       such steps hold less than a twentieth of the capacity, so that no step waits forever;
+ *   <li>late steps of jobs older than {@value #STARVED_MILLIS} milliseconds, oldest first, as long
+ *       as such steps hold less than a twentieth of the capacity, so that no step waits forever;
  *   <li>steps of entitled jobs that can meet their objective;
  *   <li>steps of entitled jobs that are late, first up to their account's share of the capacity;
  *   <li>steps of the other jobs that can meet their objective;
@@ -40,10 +40,10 @@
  * @param <T> a step with waiting tasks
  */
 public final class AccountOrder<T> {
-    /** Wait after which a step gets room regardless of its account, in milliseconds. */
+    /** Age from which a late job gets room regardless of its account, in milliseconds. */
     public static final long STARVED_MILLIS = 30_000;
 
-    /** Part of the capacity that steps may hold because of their wait. */
+    /** Part of the capacity that steps may hold because of their age. */
     private static final double STARVED_SHARE = 0.05;
 
     /**
@@ -69,8 +69,11 @@
             StepRank rank,
             long ageMillis,
             long cpuMillis) {
-        private boolean isStarved() {
-            return rank.isFinite() && ageMillis >= STARVED_MILLIS;
+        /**
+         * Returns whether the step is late and old enough to get room regardless of its account.
+         */
+        public boolean isStarved() {
+            return rank.isFinite() && !rank.isInTime() && ageMillis >= STARVED_MILLIS;
         }
     }
 
@@ -166,8 +169,8 @@
      * @param waiting the steps with waiting tasks, not null
      * @param use what the accounts use; all accounts of the steps must be active; not null
      * @param entitlements the unused entitlements of the accounts, not null
-     * @param starvedCpuMillis what the running tasks of steps that have waited too long take, in
-     *     thousandths of a core
+     * @param starvedCpuMillis what the running tasks of such old jobs take, in thousandths of a
+     *     core
      * @param starter starts the tasks, not null
      */
     public void dispatch(
--- a/policy/src/test/java/org/endivetray/policy/job/AccountOrderTest.java
+++ b/policy/src/test/java/org/endivetray/policy/job/AccountOrderTest.java
@@ -166,6 +166,13 @@
         assertEquals(100, started.size());
     }
 
+    @Test
+    void anOldJobThatCanStillBeInTimeGetsNoRoomBecauseOfItsAge() {
+        add("busy", "a", true, IN_TIME, 1);
+        add("old", "b", 0, 0, true, MORE_WORK, AccountOrder.STARVED_MILLIS, 1);
+        assertEquals(List.of("busy", "old"), dispatch(2));
+    }
+
     @Test
     void longRunningStepsGoFirstAndBestEffortStepsLastWhateverTheirAccount() {
         add("fills", "a", true, StepRank.ofLongRunning(true, 0), 1);
