--- a/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
@@ -41,8 +41,7 @@
     private final Gauge mBehindShare =
             Gauge.builder()
                     .name("endivetray_accounts_behind_share")
-                    .help(
-                            "Accounts with waiting tasks within their rate that use less than a share.")
+                    .help("Accounts that wait within their rate and use less than their share.")
                     .labelNames("pool")
                     .register(mRegistry);
     private final Gauge mBeyondRate =
