--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/StallDetector.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/StallDetector.java
@@ -1,17 +1,12 @@
 package org.endivetray.daemon.job.shard;
 
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.endivetray.policy.job.DurationModel;
-import org.endivetray.policy.job.MinionPace;
-import org.endivetray.policy.job.MinionPace.Runs;
 
 /**
  * Stops tasks that take far longer than others of their kind, as on a stalled or slow minion, so
- * that they can be started again on another minion. How long that is depends on the pace of the
- * minion.
+ * that they can be started again on another minion.
  *
  * <p>Invariants: a task is stopped at most once for this reason, so that a task that needs more
  * time is completed in the end.
@@ -19,6 +14,14 @@
  * <p>This class is not thread-safe; it belongs to the scheduler's thread.
  */
 final class StallDetector {
+    /** Multiple of the learnt duration after which a task counts as stalled. */
+    private static final int STALL_FACTOR = 4;
+
+    /**
+     * Shortest time after which a task counts as stalled. This is longer than a usual task takes.
+     */
+    private static final long MIN_STALL_MILLIS = 2_500;
+
     /** Time between two scans of all tasks. */
     private static final long SCAN_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
@@ -39,57 +42,31 @@
             return;
         }
         mNextScanNanos = nowNanos + SCAN_INTERVAL_NANOS;
-        Map<MinionSession, Runs> runs = new LinkedHashMap<>();
-        Runs all = Runs.NONE;
         for (MinionSession minion : mState.mMinions.values()) {
             if (minion.mIsResponding) {
-                Runs own = runsOn(minion, nowNanos);
-                runs.put(minion, own);
-                all = all.and(own);
-            }
-        }
-        for (Map.Entry<MinionSession, Runs> each : runs.entrySet()) {
-            scan(each.getKey(), MinionPace.of(each.getValue(), all), nowNanos);
-        }
-    }
-
-    private Runs runsOn(MinionSession minion, long nowNanos) {
-        Runs runs = Runs.NONE;
-        for (TaskEntry task : minion.tasks().values()) {
-            if (isComparable(task)) {
-                runs = runs.with(nowNanos - task.mAckedNanos, expectedMillis(task));
+                scan(minion, nowNanos);
             }
         }
-        return runs;
     }
 
-    /** Returns whether a task is running and its expected duration is known. */
-    private boolean isComparable(TaskEntry task) {
-        StepEntry step = task.mStep;
-        return task.mPhase == TaskPhase.RUNNING
-                && !step.mSpec.longRunning()
-                && !step.mSpec.gang()
-                && mDurations.isLearnt(step.kind());
-    }
-
-    private long expectedMillis(TaskEntry task) {
-        StepEntry step = task.mStep;
-        return mDurations.expectedMillis(step.kind(), step.mSpec.estimateMillis());
-    }
-
-    private void scan(MinionSession minion, MinionPace pace, long nowNanos) {
+    private void scan(MinionSession minion, long nowNanos) {
         for (TaskEntry task : List.copyOf(minion.tasks().values())) {
-            if (!task.mWasStalled
-                    && isComparable(task)
-                    && nowNanos - task.mAckedNanos >= limitNanos(task, pace)) {
+            if (task.mPhase == TaskPhase.RUNNING
+                    && !task.mWasStalled
+                    && isStalled(task, nowNanos)) {
                 task.mWasStalled = true;
                 mLifecycle.onStalled(task, nowNanos);
             }
         }
     }
 
-    private long limitNanos(TaskEntry task, MinionPace pace) {
-        long longest = mDurations.longestNearMillis(task.mStep.kind());
-        return TimeUnit.MILLISECONDS.toNanos(pace.stallMillis(expectedMillis(task), longest));
+    private boolean isStalled(TaskEntry task, long nowNanos) {
+        StepEntry step = task.mStep;
+        if (step.mSpec.longRunning() || step.mSpec.gang() || !mDurations.isLearnt(step.kind())) {
+            return false;
+        }
+        long expected = mDurations.expectedMillis(step.kind(), step.mSpec.estimateMillis());
+        long limit = Math.max(MIN_STALL_MILLIS, STALL_FACTOR * expected);
+        return nowNanos - task.mAckedNanos >= TimeUnit.MILLISECONDS.toNanos(limit);
     }
 }
--- a/policy/src/main/java/org/endivetray/policy/job/DurationDistribution.java
+++ b/policy/src/main/java/org/endivetray/policy/job/DurationDistribution.java
@@ -48,11 +48,6 @@
         return mCounted.getValueAtPercentile(share * MAX_PERCENTILE);
     }
 
-    /** Returns the longest duration, in milliseconds. */
-    long maxMillis() {
-        return mCounted.getMaxValue();
-    }
-
     /**
      * Returns the time that a task of an age still needs, from the durations above that age; as
      * long again if there is none.
--- a/policy/src/main/java/org/endivetray/policy/job/DurationModel.java
+++ b/policy/src/main/java/org/endivetray/policy/job/DurationModel.java
@@ -103,15 +103,6 @@
                         : declaredMillis);
     }
 
-    /**
-     * Returns the longest duration near the data that was observed lately, in milliseconds, 0 if
-     * there is none.
-     */
-    public long longestNearMillis(String kind) {
-        Observed observed = mObserved.get(kind);
-        return observed == null ? 0 : observed.mNearDistribution.maxMillis();
-    }
-
     /**
      * Returns the time that a task that runs near its data still needs, from the durations that are
      * longer than its age. A task that is older than all of them is expected to take as long again.
