Forget the orphans of a minion whose runs have all ended

Cause, by reading: a minion that has listed an orphan and then goes silent, but stays registered, kept counting as running it after its lease had ended, so its account's room was held back and each later owner waited for the task anew. Change: giving up all runs of a minion forgets its orphans too. No test of its own; ShardTest, ClosedMinionsTest, AccountCapTest, RunEndsTest, AdoptedRunsTest, OwnerChangesTest and TakeoverProperties are green.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionMonitor.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionMonitor.java
@@ -312,5 +312,6 @@
         for (TaskEntry task : List.copyOf(session.tasks().values())) {
             mLifecycle.onRunLost(task, reason);
         }
+        session.clearOrphans();
     }
 }
