--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -100,12 +100,8 @@
         mContext = context;
         mState = new ShardState(pool, owner.version(), context.memory());
         mOnLost = onLost;
-        mWriter =
-                new BatchWriter(
-                        context.store(),
-                        context.executor(),
-                        owner,
-                        () -> markLost("owner changed in the store"));
+        Runnable onOwnerChanged = () -> markLost("owner changed in the store");
+        mWriter = new BatchWriter(context.store(), context.executor(), owner, onOwnerChanged);
         Runnable onFenced = () -> markLost("fenced: a minion has seen a later owner");
         mLifecycle = new TaskLifecycle(context, mState, mWriter, durations, onFenced);
         mMinionRecord = new MinionRecord(mState, mWriter);
@@ -128,7 +124,6 @@
                         mQueueRecord,
                         mCancellations,
                         new SubmissionLimit(context.executor(), mState, context.accounts()));
-        Runnable onOwnerChanged = () -> markLost("owner changed in the store");
         mInboxWatcher =
                 new InboxWatcher(
                         context, mState, mRequestHandler, owner, onOwnerChanged, this::isLost);
