Let no stale verdict remove the share of a pool that has an owner

Cause: AbsentOwners kept its verdicts when no pool had to be looked for, applied the rule on gaps only in the next successful check, and kept pools that this daemon had claimed itself. QuotaCommit then proposed to remove their shares.

--- a/daemon/src/main/java/org/endivetray/daemon/job/quota/AbsentOwners.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/quota/AbsentOwners.java
@@ -13,7 +13,8 @@
  * Finds pools that hold room of an account and have had no owner for so long that none of their
  * runs can exist, such as pools that were removed from the configuration.
  *
- * <p>Invariants: a pool counts as absent only if each check of that time has found no owner.
+ * <p>Invariants: a pool counts as absent only if each check of that time, the latest of which is
+ * recent, has looked for it and found no owner. An ownership between two checks is not seen.
  *
  * <p>This class is not thread-safe; it belongs to the scheduler's thread.
  */
@@ -53,6 +54,7 @@
     void check(Set<String> pools, long nowNanos) {
         mNextCheckNanos = nowNanos + CHECK_NANOS;
         if (pools.isEmpty()) {
+            mAbsentSince.clear();
             return;
         }
         mIsChecking = true;
@@ -76,6 +78,7 @@
             mAbsentSince.clear();
         }
         mCheckedNanos = askedNanos;
+        mAbsentSince.keySet().retainAll(pools);
         mAbsentSince.keySet().removeAll(present);
         for (String pool : pools) {
             if (!present.contains(pool)) {
@@ -84,8 +87,16 @@
         }
     }
 
-    /** Returns the pools without an owner. */
+    /** Forgets a pool that this daemon has claimed or released. */
+    void forget(String pool) {
+        mAbsentSince.remove(pool);
+    }
+
+    /** Returns the pools without an owner, none after a gap in the checks. */
     Set<String> absent(long nowNanos) {
+        if (nowNanos - mCheckedNanos > MAX_GAP_NANOS) {
+            return Set.of();
+        }
         return mAbsentSince.entrySet().stream()
                 .filter(entry -> nowNanos - entry.getValue() >= mAbsenceNanos)
                 .map(Map.Entry::getKey)
--- a/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaCommit.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaCommit.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.TreeSet;
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.job.Resources;
 import org.endivetray.platform.RecordCodec;
@@ -50,7 +51,9 @@
                 conditions.add(member.owner());
             }
         }
-        for (String pool : absent) {
+        Set<String> unowned = new TreeSet<>(absent);
+        members.forEach(member -> unowned.remove(member.pool()));
+        for (String pool : unowned) {
             if (ledger.shares().containsKey(pool) && conditions.size() <= MAX_POOLS) {
                 ledger = ledger.with(pool, QuotaShare.EMPTY);
                 conditions.add(new Condition(JobKeys.OWNER_PREFIX + pool, SharedStore.ABSENT));
--- a/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaManager.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaManager.java
@@ -121,6 +121,7 @@
     /** Adds a pool whose owner's key has been claimed. */
     public void add(QuotaMember member) {
         mMembers.put(member.pool(), new Entry(member));
+        mAbsentOwners.forget(member.pool());
         mRandom.setSeed(member.owner().version());
         mNextListNanos = mExecutor.nanoTime();
         tick(mExecutor.nanoTime());
@@ -131,6 +132,7 @@
         Entry entry = mMembers.get(member.pool());
         if (entry != null && entry.mMember == member) {
             mMembers.remove(member.pool());
+            mAbsentOwners.forget(member.pool());
         }
     }
 
