Call a pool settled only by what was counted

Cause: AccountRoom.isSettled() was evaluated at each call, load() came from the count of the last dispatch. When the last minion answered a successor between two dispatches, the pool was settled with a count without its runs, so its share could be returned. Likewise an account that had just been capped had no count yet. Change: count() records whether all runs of earlier owners were known, and with which accounts it counted; isSettled() holds only for that count.

--- a/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaManager.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaManager.java
@@ -147,6 +147,11 @@
         return !mQuotas.isEmpty();
     }
 
+    /** Returns the accounts of the configuration that was in force at the latest call. */
+    public ClientAccounts accounts() {
+        return mAccounts;
+    }
+
     /** Returns the cap of an account, null if it has none. */
     public Resources cap(String account) {
         refresh();
--- a/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaMember.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaMember.java
@@ -18,7 +18,7 @@
     /** Returns what an account's tasks take and wait for in the pool. */
     AccountLoad load(String account);
 
-    /** Returns whether the owner knows of all runs that earlier owners may have started. */
+    /** Returns whether the load includes all runs that earlier owners may have started. */
     boolean isSettled();
 
     /**
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/AccountRoom.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/AccountRoom.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import org.endivetray.daemon.job.quota.QuotaManager;
 import org.endivetray.daemon.job.quota.QuotaMember;
+import org.endivetray.job.ClientAccounts;
 import org.endivetray.job.JobSpec;
 import org.endivetray.job.JobState;
 import org.endivetray.job.Resources;
@@ -20,7 +21,8 @@
  * or their leases have expired, whatever that owner may have started.
  *
  * <p>Invariants: the tasks of an account start only while all that is counted stays within the
- * pool's share.
+ * pool's share; the pool is settled only if the count that {@link #load} returns includes all runs
+ * of earlier owners.
  *
  * <p>This class is not thread-safe; it belongs to the scheduler's thread.
  */
@@ -44,6 +46,13 @@
     private final Map<String, Usage> mUsages = new HashMap<>();
     private Map<String, AccountLoad> mBefore = Map.of();
     private boolean mIsActive;
+
+    /** Whether the latest count was made with all runs of earlier owners known. */
+    private boolean mIsSettled;
+
+    /** The accounts of the configuration that was in force at the latest count. */
+    private ClientAccounts mCountedAccounts;
+
     private int mBlockedTasks;
 
     /** What the available minions have free. */
@@ -109,12 +118,14 @@
 
     @Override
     public boolean isSettled() {
-        return !mState.mayHaveUnseenRuns(mContext.executor().nanoTime());
+        return mIsSettled && mCountedAccounts == mQuotas.accounts();
     }
 
     /** Counts the runs, before tasks are dispatched. */
     void count(long nowNanos) {
         mIsActive = mQuotas.hasCaps();
+        mIsSettled = mIsActive && !mState.mayHaveUnseenRuns(nowNanos);
+        mCountedAccounts = mQuotas.accounts();
         if (!mIsActive) {
             mUsages.clear();
             return;
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
@@ -67,28 +67,28 @@
         return shard;
     }
 
+    /** Returns the context of a daemon. */
+    ShardContext context() {
+        return new ShardContext(
+                mStore,
+                mMinions,
+                null,
+                mExecutor,
+                mMemory,
+                () -> mMayAct,
+                new JobMetrics(),
+                new ShardLimits(
+                        LEASE_MILLIS, STOP_MILLIS, 120_000, StoreWatch.Timing.ofSilence(3_000)),
+                () -> mAccounts);
+    }
+
     /** Returns a new owner of the pool's shard, without notifying the previous one. */
     Shard takeOver() {
         long token = mStore.put(JobKeys.OWNER_PREFIX + POOL, new byte[] {1});
         mMinions.addOwner(token);
-        ShardContext context =
-                new ShardContext(
-                        mStore,
-                        mMinions,
-                        null,
-                        mExecutor,
-                        mMemory,
-                        () -> mMayAct,
-                        new JobMetrics(),
-                        new ShardLimits(
-                                LEASE_MILLIS,
-                                STOP_MILLIS,
-                                120_000,
-                                StoreWatch.Timing.ofSilence(3_000)),
-                        () -> mAccounts);
         Shard shard =
                 new Shard(
-                        context,
+                        context(),
                         POOL,
                         new Condition(JobKeys.OWNER_PREFIX + POOL, token),
                         new DurationModel(FarFactor.configured(mFarFactor)),
