Store nothing of an account while its record is unreadable

Cause: AccountQuota.propose() returned the earlier ledger when the record was unreadable, and QuotaCommit removed the shares of absent pools from it, so an unreadable record was overwritten by an older one without an operator. Change: QuotaCommit.of returns null while the record is unreadable; the check in propose(), which only it calls, is gone. Measured: before, nothingIsStoredWhileTheRecordIsUnreadable failed; with it QuotaCommitTest, AccountCapTest and QuotaProperties pass.

--- a/daemon/src/main/java/org/endivetray/daemon/job/quota/AccountQuota.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/quota/AccountQuota.java
@@ -85,6 +85,11 @@
         return mLedger;
     }
 
+    /** Returns whether the present record cannot be read, so that the ledger is an earlier one. */
+    boolean isUnreadable() {
+        return mIsUnreadable;
+    }
+
     /**
      * Sets the cap of the configuration in force.
      *
@@ -193,9 +198,6 @@
      * @param nowNanos time of the monotonic clock, in nanoseconds
      */
     QuotaLedger propose(Collection<QuotaMember> members, int maxChanges, long nowNanos) {
-        if (mIsUnreadable) {
-            return mLedger;
-        }
         Resources cap = cap();
         QuotaLedger proposed = mLedger;
         int changes = 0;
--- a/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaCommit.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaCommit.java
@@ -32,7 +32,7 @@
     private static final int MAX_POOLS = SharedStore.MAX_COMMIT_ENTRIES - 2;
 
     /**
-     * Returns the change that is due, null if there is none.
+     * Returns the change that is due, null if there is none or the record cannot be read.
      *
      * @param quota the account, not null
      * @param members the owned pools whose shares may be used, not null
@@ -42,6 +42,9 @@
      */
     static QuotaCommit of(
             AccountQuota quota, List<QuotaMember> members, Set<String> absent, long nowNanos) {
+        if (quota.isUnreadable()) {
+            return null;
+        }
         QuotaLedger before = quota.ledger();
         QuotaLedger ledger = quota.propose(members, MAX_POOLS, nowNanos);
         List<Condition> conditions = new ArrayList<>();
--- a/daemon/src/test/java/org/endivetray/daemon/job/quota/QuotaCommitTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/quota/QuotaCommitTest.java
@@ -59,4 +59,11 @@
         assertThat(changed.share("ice").granted()).isEqualTo(HELD);
         assertThat(changed.shares()).doesNotContainKey("sea");
     }
+
+    @Test
+    void nothingIsStoredWhileTheRecordIsUnreadable() {
+        takeOver(Map.of("ice", share(), "sea", share()));
+        mQuota.onRecord(new VersionedValue(mQuota.key(), 6, new byte[] {'?'}), 0);
+        assertThat(change(Set.of("sea"))).isNull();
+    }
 }
