Count unseen runs only where a silent minion may have them

Cause: a closed minion that names no tasks kept a pool unsettled until its lease had ended, and all tasks of a job that had ended within 30 s were counted as unseen runs while any minion had not answered, even if the closed ones named none of them. Change: unknown runs may exist if an open minion has not answered or a closed one names a task; for an ended job the task must be of that job.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/AccountRoom.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/AccountRoom.java
@@ -186,7 +186,9 @@
                     }
                 }
             }
-        } else if (job.mState != JobState.COMPLETED && isRecentlyEnded(job)) {
+        } else if (job.mState != JobState.COMPLETED
+                && isRecentlyEnded(job)
+                && mState.mInheritedRuns.mayIncludeTaskOf(job.mId, nowNanos)) {
             int occurrences = job.mStored.spec().isScheduled() ? MAX_OVERLAPPING : 1;
             for (StepSpec step : job.mStored.spec().steps()) {
                 Resources tasks = Resources.ofTask(step).times((long) step.count() * occurrences);
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/InheritedRuns.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/InheritedRuns.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
+import org.endivetray.job.TaskId;
 
 /**
  * The runs of earlier owners that this owner may not know yet, since their minions have not
@@ -85,7 +87,13 @@
 
     /** Returns whether any unknown run may exist. */
     boolean mayExist(long nowNanos) {
-        return !isReconciled() && nowNanos - mLeaseEndNanos < 0;
+        return mayIncludeAny(task -> true, nowNanos);
+    }
+
+    /** Returns whether any task of an inherited job may have an unknown run. */
+    boolean mayIncludeTaskOf(String job, long nowNanos) {
+        return mayIncludeAny(
+                task -> TaskId.parse(task).map(id -> id.job().equals(job)).orElse(true), nowNanos);
     }
 
     /** Returns whether a task of an inherited job may have an unknown run. */
@@ -95,4 +103,11 @@
                         || mClosedMinions.values().stream()
                                 .anyMatch(tasks -> tasks.contains(task)));
     }
+
+    private boolean mayIncludeAny(Predicate<String> isSought, long nowNanos) {
+        return nowNanos - mLeaseEndNanos < 0
+                && (!mOpenMinions.isEmpty()
+                        || mClosedMinions.values().stream()
+                                .anyMatch(tasks -> tasks.stream().anyMatch(isSought)));
+    }
 }
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/AccountCapTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/AccountCapTest.java
@@ -168,6 +168,50 @@
         assertThat(mostRunning(8_000, second)).isEqualTo(6);
     }
 
+    @Test
+    void runsOfACancelledJobTakeNoRoomIfTheSilentMinionCannotHaveAny() {
+        letTasksRunFor(60_000);
+        setCap(10);
+        Shard first = mHarness.startWith("m1", "m2");
+        submit(first, 1, ShardHarness.step(1));
+        mHarness.run(200, first);
+        String silent = mHarness.mMinions.mStarts.get(0).minion();
+        mHarness.mMinions.minion(silent).mIsUnreachable = true;
+        mHarness.run(2_000, first);
+        submit(first, 2, ShardHarness.step(8));
+        mHarness.run(1_000, first);
+        assertThat(running()).isEqualTo(9);
+        first.cancel(ShardHarness.id(2));
+        mHarness.run(1_000, first);
+        assertThat(running()).isEqualTo(1);
+        first.markLost("killed");
+        Shard second = mHarness.takeOver();
+        mHarness.run(200, second);
+        submit(second, 3, ShardHarness.step(8));
+        // The minion that has not answered may run the task of the first job only.
+        assertThat(mostRunning(3_000, second)).isEqualTo(9);
+    }
+
+    @Test
+    void runsOfACancelledJobTakeRoomWhileTheSilentMinionMayHaveThem() {
+        letTasksRunFor(60_000);
+        setCap(8);
+        Shard first = mHarness.startWith("m1", "m2");
+        submit(first, 1, ShardHarness.step(8));
+        mHarness.run(500, first);
+        String silent = mHarness.mMinions.mStarts.get(0).minion();
+        mHarness.mMinions.minion(silent).mIsUnreachable = true;
+        mHarness.run(2_000, first);
+        first.cancel(ShardHarness.id(1));
+        mHarness.run(1_000, first);
+        assertThat(running()).isPositive();
+        first.markLost("killed");
+        Shard second = mHarness.takeOver();
+        mHarness.run(200, second);
+        submit(second, 2, ShardHarness.step(8));
+        assertThat(mostRunning(4_000, second)).isLessThanOrEqualTo(8);
+    }
+
     @Test
     void aStartWhoseOutcomeIsNotKnownTakesRoomUntilItIsExcluded() {
         letTasksRunFor(60_000);
