--- a/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaCommit.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaCommit.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.TreeSet;
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.job.Resources;
 import org.endivetray.platform.RecordCodec;
@@ -31,7 +32,7 @@
     private static final int MAX_POOLS = SharedStore.MAX_COMMIT_ENTRIES - 2;
 
     /**
-     * Returns the change that is due, null if there is none.
+     * Returns the change that is due, null if there is none or the record cannot be read.
      *
      * @param quota the account, not null
      * @param members the owned pools whose shares may be used, not null
@@ -41,6 +42,9 @@
      */
     static QuotaCommit of(
             AccountQuota quota, List<QuotaMember> members, Set<String> absent, long nowNanos) {
+        if (quota.isUnreadable()) {
+            return null;
+        }
         QuotaLedger before = quota.ledger();
         QuotaLedger ledger = quota.propose(members, MAX_POOLS, nowNanos);
         List<Condition> conditions = new ArrayList<>();
@@ -50,7 +54,9 @@
                 conditions.add(member.owner());
             }
         }
-        for (String pool : absent) {
+        Set<String> unowned = new TreeSet<>(absent);
+        members.forEach(member -> unowned.remove(member.pool()));
+        for (String pool : unowned) {
             if (ledger.shares().containsKey(pool) && conditions.size() <= MAX_POOLS) {
                 ledger = ledger.with(pool, QuotaShare.EMPTY);
                 conditions.add(new Condition(JobKeys.OWNER_PREFIX + pool, SharedStore.ABSENT));
--- a/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaManager.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/quota/QuotaManager.java
@@ -121,6 +121,7 @@
     /** Adds a pool whose owner's key has been claimed. */
     public void add(QuotaMember member) {
         mMembers.put(member.pool(), new Entry(member));
+        mAbsentOwners.forget(member.pool());
         mRandom.setSeed(member.owner().version());
         mNextListNanos = mExecutor.nanoTime();
         tick(mExecutor.nanoTime());
@@ -131,6 +132,7 @@
         Entry entry = mMembers.get(member.pool());
         if (entry != null && entry.mMember == member) {
             mMembers.remove(member.pool());
+            mAbsentOwners.forget(member.pool());
         }
     }
 
@@ -145,6 +147,11 @@
         return !mQuotas.isEmpty();
     }
 
+    /** Returns the accounts of the configuration that was in force at the latest call. */
+    public ClientAccounts accounts() {
+        return mAccounts;
+    }
+
     /** Returns the cap of an account, null if it has none. */
     public Resources cap(String account) {
         refresh();
