Let a used connection of the ready and metrics ports give way last

Cause: these ports recorded no use, so the load balancer's connection, which was opened first, counted as the one that had been idle longest and was closed for a new one. The metrics port has no test of its own.

--- a/daemon/src/main/java/org/endivetray/daemon/job/MetricsServer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/MetricsServer.java
@@ -35,7 +35,7 @@
 
     private void onRequest(HttpServerRequest request) {
         if (!mConnections.closeIfAnswersAreNotRead(request)) {
-            request.response().end(mMetrics.text());
+            mConnections.answer(request, mMetrics.text());
         }
     }
 }
