Keep a connection whose request is complete before it is closed

Cause: a connection that had to give way was taken out of the table by the event loop of the new one and closed from there. A request on it that became complete meanwhile was closed without an answer, which the table's invariant excludes. Change: a chosen connection is marked; its own event loop closes it unless it is in use by then, and chooses another one in that case. While none can give way, a kept connection counts above the limit. The same for connections of peers. Measured: ConnectionTableTest, 11 tests pass; aConnectionWhoseRequestIsCompleteBeforeItIsClosedIsKept failed before (its first two lines, the rest is new). BodyLimitsTest 14, RequestFlowTest 2, CallerKeysTest 5 pass. The race of threads has no test of its own.

--- a/policy/src/main/java/org/endivetray/policy/intake/ConnectionTable.java
+++ b/policy/src/main/java/org/endivetray/policy/intake/ConnectionTable.java
@@ -10,7 +10,11 @@
 /**
  * The open connections of a port, and which of them is closed for a new one at the limit.
  *
- * <p>Invariants: there are at most as many connections as the limit says; a connection whose
+ * <p>A connection that is chosen gives way once its event loop confirms it; until then a request on
+ * it may become complete, which keeps it.
+ *
+ * <p>Invariants: there are at most as many connections as the limit says, beside those that are
+ * about to be closed and those that were kept while no other could give way; a connection whose
  * request was received completely is never closed for another.
  *
  * <p>This class is thread-safe.
@@ -21,6 +25,7 @@
     private final int mMaxConnections;
     private final Map<C, Entry<C>> mEntries = new HashMap<>();
     private final Map<Phase, Set<Entry<C>>> mByPhase = new EnumMap<>(Phase.class);
+    private int mGivingWay;
     private long mLastUse;
 
     /** What a connection is used for; those of earlier phases give way first. */
@@ -45,6 +50,7 @@
         private final C mConnection;
         private Phase mPhase;
         private long mUse;
+        private boolean mIsGivingWay;
 
         private Entry(C connection) {
             mConnection = connection;
@@ -67,22 +73,58 @@
      * Adds a connection without a request.
      *
      * @param connection the connection, not null
-     * @return the connection that must be closed, which is no longer in the table: the given one if
-     *     no other may give way, null if the limit is kept
+     * @return the connection that must be closed: the given one, which is not in the table, if no
+     *     other may give way; null if the limit is kept. Another one is closed on its event loop if
+     *     {@link #giveWay} allows it.
      */
     public synchronized C add(C connection) {
-        C closed = null;
-        if (mEntries.size() >= mMaxConnections) {
-            closed = connectionToClose();
-            if (closed == null) {
+        C chosen = null;
+        if (size() >= mMaxConnections) {
+            chosen = choose();
+            if (chosen == null) {
                 return connection;
             }
-            remove(closed);
         }
         Entry<C> entry = new Entry<>(connection);
         mEntries.put(connection, entry);
         enter(entry, Phase.IDLE);
-        return closed;
+        return chosen;
+    }
+
+    /**
+     * Removes a connection that was chosen, unless a request on it has become complete since.
+     *
+     * @param connection the connection, on its event loop, not null
+     * @return whether the connection must be closed
+     */
+    public synchronized boolean giveWay(C connection) {
+        Entry<C> entry = mEntries.get(connection);
+        if (entry == null || !entry.mIsGivingWay) {
+            return false;
+        }
+        remove(connection);
+        return true;
+    }
+
+    /**
+     * Chooses a connection to be closed while there are more than the limit says.
+     *
+     * @return the connection, to be closed as one that {@link #add} returns, null if the limit is
+     *     kept or none may give way
+     */
+    public synchronized C chooseAboveLimit() {
+        return size() > mMaxConnections ? choose() : null;
+    }
+
+    private C choose() {
+        C chosen = connectionToClose();
+        if (chosen != null) {
+            Entry<C> entry = mEntries.get(chosen);
+            mByPhase.get(entry.mPhase).remove(entry);
+            entry.mIsGivingWay = true;
+            mGivingWay++;
+        }
+        return chosen;
     }
 
     /** Returns the connection that has been longest in the first phase that may give way. */
@@ -97,14 +139,15 @@
     }
 
     /**
-     * Records what a connection is used for now; has no effect if it is not in the table.
+     * Records what a connection is used for now; has no effect if it is not in the table. One that
+     * is about to be closed is kept if it is in use.
      *
      * @return number of this use, for {@link #leave}
      */
     public synchronized long enter(C connection, Phase phase) {
         Entry<C> entry = mEntries.get(connection);
-        if (entry != null) {
-            mByPhase.get(entry.mPhase).remove(entry);
+        if (entry != null && (!entry.mIsGivingWay || phase == Phase.IN_USE)) {
+            takeOut(entry);
             entry.mUse = ++mLastUse;
             enter(entry, phase);
         }
@@ -117,7 +160,7 @@
      */
     public synchronized void leave(C connection, long use) {
         Entry<C> entry = mEntries.get(connection);
-        if (entry != null && entry.mUse == use) {
+        if (entry != null && entry.mUse == use && !entry.mIsGivingWay) {
             mByPhase.get(entry.mPhase).remove(entry);
             enter(entry, Phase.IDLE);
         }
@@ -132,12 +175,21 @@
     public synchronized void remove(C connection) {
         Entry<C> entry = mEntries.remove(connection);
         if (entry != null) {
+            takeOut(entry);
+        }
+    }
+
+    private void takeOut(Entry<C> entry) {
+        if (entry.mIsGivingWay) {
+            entry.mIsGivingWay = false;
+            mGivingWay--;
+        } else {
             mByPhase.get(entry.mPhase).remove(entry);
         }
     }
 
-    /** Returns the number of open connections. */
+    /** Returns the number of open connections, without those that are about to be closed. */
     public synchronized int size() {
-        return mEntries.size();
+        return mEntries.size() - mGivingWay;
     }
 }
--- a/policy/src/test/java/org/endivetray/policy/intake/ConnectionTableTest.java
+++ b/policy/src/test/java/org/endivetray/policy/intake/ConnectionTableTest.java
@@ -74,4 +74,50 @@
         mTable.enter("b", Phase.IDLE);
         assertThat(mTable.add("d")).isNull();
     }
+
+    @Test
+    void aConnectionWhoseRequestIsCompleteBeforeItIsClosedIsKept() {
+        open(Phase.IDLE, Phase.IN_USE, Phase.IN_USE);
+        assertThat(mTable.add("d")).isEqualTo("a");
+        mTable.enter("a", Phase.IN_USE);
+        assertThat(mTable.size()).isEqualTo(4);
+        assertThat(mTable.giveWay("a")).isFalse();
+        assertThat(mTable.chooseAboveLimit()).isEqualTo("d");
+        assertThat(mTable.giveWay("d")).isTrue();
+        assertThat(mTable.size()).isEqualTo(3);
+        assertThat(mTable.chooseAboveLimit()).isNull();
+    }
+
+    @Test
+    void aConnectionThatIsAboutToBeClosedGivesWayWhileItsBodyIsArriving() {
+        open(Phase.IDLE, Phase.IN_USE, Phase.IN_USE);
+        assertThat(mTable.add("d")).isEqualTo("a");
+        mTable.enter("a", Phase.RECEIVING);
+        assertThat(mTable.size()).isEqualTo(3);
+        assertThat(mTable.giveWay("a")).isTrue();
+        assertThat(mTable.giveWay("a")).isFalse();
+        assertThat(mTable.size()).isEqualTo(3);
+    }
+
+    @Test
+    void aConnectionThatIsAboutToBeClosedIsNotChosenAgain() {
+        open(Phase.IDLE, Phase.IDLE, Phase.IN_USE);
+        assertThat(mTable.add("d")).isEqualTo("a");
+        assertThat(mTable.add("e")).isEqualTo("b");
+        mTable.remove("a");
+        assertThat(mTable.giveWay("a")).isFalse();
+        assertThat(mTable.size()).isEqualTo(3);
+    }
+
+    @Test
+    void aConnectionThatWasKeptIsCountedAboveTheLimitUntilAnotherGivesWay() {
+        open(Phase.IDLE, Phase.IN_USE, Phase.IN_USE);
+        mTable.add("d");
+        mTable.enter("d", Phase.IN_USE);
+        long use = mTable.enter("a", Phase.IN_USE);
+        assertThat(mTable.chooseAboveLimit()).isNull();
+        assertThat(mTable.add("e")).isEqualTo("e");
+        mTable.leave("a", use);
+        assertThat(mTable.chooseAboveLimit()).isEqualTo("a");
+    }
 }
--- a/wire/src/main/java/org/endivetray/wire/PeerServer.java
+++ b/wire/src/main/java/org/endivetray/wire/PeerServer.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
@@ -109,10 +110,36 @@
                     }
                 });
         socket.exceptionHandler(cause -> socket.close());
-        NetSocket closed = mConnections.add(socket);
-        if (closed != null) {
-            closed.close();
+        NetSocket chosen = mConnections.add(socket);
+        if (chosen == socket) {
+            socket.close();
+            return;
+        }
+        closeUnlessUsed(chosen);
+        closeUnlessUsed(mConnections.chooseAboveLimit());
+    }
+
+    /**
+     * Closes a connection on its event loop, which also receives its messages, or another one if it
+     * has sent a whole message before.
+     *
+     * @param chosen the connection, null for none
+     */
+    private void closeUnlessUsed(NetSocket chosen) {
+        if (chosen == null) {
+            return;
         }
+        ((NetSocketInternal) chosen)
+                .channelHandlerContext()
+                .executor()
+                .execute(
+                        () -> {
+                            if (mConnections.giveWay(chosen)) {
+                                chosen.close();
+                            } else {
+                                closeUnlessUsed(mConnections.chooseAboveLimit());
+                            }
+                        });
     }
 
     private void onMessage(NetSocket socket, Envelope message) {
