Close connections of peers on which nothing arrives for 600 s

Cause: a connection that has sent a whole message never gives way, so those that failed peers leave half-open filled the limit of inner connections for good. Change: keep-alive of TCP, and a limit of 600 s without a byte from the peer. PeerConnection opens another connection with its next message after it was closed (read in the code). Measured: compiles. No test: it would have to wait for the time.

--- a/wire/src/main/java/org/endivetray/wire/PeerServer.java
+++ b/wire/src/main/java/org/endivetray/wire/PeerServer.java
@@ -6,6 +6,7 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
+import java.util.concurrent.TimeUnit;
 import org.endivetray.policy.intake.ConnectionTable;
 import org.endivetray.policy.intake.IntakeBudget;
 import org.endivetray.policy.intake.IntakeLimits;
@@ -16,7 +17,7 @@
  * Accepts connections from other daemons and replies to the messages on them.
  *
  * <p>A connection that has sent a whole message is a peer's; others give way to new ones at the
- * limit of connections.
+ * limit of connections. A peer's is closed when nothing has been received on it for long.
  *
  * <p>Invariants: each message receives at most one reply, which carries the id of the message; the
  * bytes of incomplete frames and the open connections stay within the limits.
@@ -27,6 +28,13 @@
     /** Most bytes of replies that wait until a peer reads them. */
     private static final int MAX_UNREAD_BYTES = 2 * EnvelopeCodec.MAX_FRAME_BYTES;
 
+    /**
+     * Time without bytes from a peer after which its connection is closed, in seconds. A peer that
+     * has failed may leave it half-open; one that lives opens another with its next message ({@link
+     * PeerConnection}).
+     */
+    private static final int READ_IDLE_SECONDS = 600;
+
     private final NetServer mServer;
     private final IntakeBudget mBudget;
     private final ConnectionTable<NetSocket> mConnections;
@@ -67,7 +75,13 @@
             long localIncarnation,
             MessageHandler handler,
             IntakeLimits limits) {
-        mServer = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true));
+        mServer =
+                vertx.createNetServer(
+                        new NetServerOptions()
+                                .setTcpNoDelay(true)
+                                .setTcpKeepAlive(true)
+                                .setReadIdleTimeout(READ_IDLE_SECONDS)
+                                .setIdleTimeoutUnit(TimeUnit.SECONDS));
         mLocalName = localName;
         mLocalIncarnation = localIncarnation;
         mHandler = handler;
