Reserve no room for frames where there is no limit

Cause: the frames of replies were reserved in one budget without a limit for the whole process, with its lock, and a connection that closed within a frame left its reservation there for good. Change: without a limit nothing is reserved; PeerConnection closes its reader when its connection closes. Measured: compiles. No test: neither can be seen from outside of the class.

--- a/wire/src/main/java/org/endivetray/wire/FrameReader.java
+++ b/wire/src/main/java/org/endivetray/wire/FrameReader.java
@@ -17,10 +17,11 @@
  * <p>This class is not thread-safe; it is confined to the event loop of its connection.
  */
 final class FrameReader {
-    private static final IntakeBudget UNLIMITED = new IntakeBudget(Long.MAX_VALUE);
-
     private final Consumer<Envelope> mOnMessage;
+
+    /** The room of all connections, null if there is no limit. */
     private final IntakeBudget mBudget;
+
     private final Runnable mOnEvicted;
     private Buffer mPending = Buffer.buffer();
 
@@ -31,14 +32,14 @@
 
     /** Constructs a reader of frames that this daemon has asked for. */
     FrameReader(Consumer<Envelope> onMessage) {
-        this(onMessage, UNLIMITED, () -> {});
+        this(onMessage, null, () -> {});
     }
 
     /**
      * Constructs a reader that reserves room for each frame that does not arrive at once.
      *
      * @param onMessage handles the messages, not null
-     * @param budget the room of all connections, not null
+     * @param budget the room of all connections, null if there is no limit
      * @param onEvicted closes the connection if its frame must give way, not null
      */
     FrameReader(Consumer<Envelope> onMessage, IntakeBudget budget, Runnable onEvicted) {
@@ -67,7 +68,9 @@
             }
             int start = offset + EnvelopeCodec.LENGTH_PREFIX_BYTES;
             if (mPending.length() - start < length) {
-                reserve(length, mPending.length() - start);
+                if (mBudget != null) {
+                    reserve(length, mPending.length() - start);
+                }
                 break;
             }
             close();
--- a/wire/src/main/java/org/endivetray/wire/PeerConnection.java
+++ b/wire/src/main/java/org/endivetray/wire/PeerConnection.java
@@ -164,7 +164,11 @@
                     }
                 });
         socket.exceptionHandler(cause -> socket.close());
-        socket.closeHandler(ignored -> onClosed(socket));
+        socket.closeHandler(
+                ignored -> {
+                    reader.close();
+                    onClosed(socket);
+                });
         return socket;
     }
 
