--- a/wire/src/main/java/org/endivetray/wire/PeerServer.java
+++ b/wire/src/main/java/org/endivetray/wire/PeerServer.java
@@ -2,9 +2,11 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
+import java.util.concurrent.TimeUnit;
 import org.endivetray.policy.intake.ConnectionTable;
 import org.endivetray.policy.intake.IntakeBudget;
 import org.endivetray.policy.intake.IntakeLimits;
@@ -15,7 +17,7 @@
  * Accepts connections from other daemons and replies to the messages on them.
  *
  * <p>A connection that has sent a whole message is a peer's; others give way to new ones at the
- * limit of connections.
+ * limit of connections. A peer's is closed when nothing has been received on it for long.
  *
  * <p>Invariants: each message receives at most one reply, which carries the id of the message; the
  * bytes of incomplete frames and the open connections stay within the limits.
@@ -26,6 +28,13 @@
     /** Most bytes of replies that wait until a peer reads them. */
     private static final int MAX_UNREAD_BYTES = 2 * EnvelopeCodec.MAX_FRAME_BYTES;
 
+    /**
+     * Time without bytes from a peer after which its connection is closed, in seconds. A peer that
+     * has failed may leave it half-open; one that lives opens another with its next message ({@link
+     * PeerConnection}).
+     */
+    private static final int READ_IDLE_SECONDS = 600;
+
     private final NetServer mServer;
     private final IntakeBudget mBudget;
     private final ConnectionTable<NetSocket> mConnections;
@@ -66,7 +75,13 @@
             long localIncarnation,
             MessageHandler handler,
             IntakeLimits limits) {
-        mServer = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true));
+        mServer =
+                vertx.createNetServer(
+                        new NetServerOptions()
+                                .setTcpNoDelay(true)
+                                .setTcpKeepAlive(true)
+                                .setReadIdleTimeout(READ_IDLE_SECONDS)
+                                .setIdleTimeoutUnit(TimeUnit.SECONDS));
         mLocalName = localName;
         mLocalIncarnation = localIncarnation;
         mHandler = handler;
@@ -109,10 +124,36 @@
                     }
                 });
         socket.exceptionHandler(cause -> socket.close());
-        NetSocket closed = mConnections.add(socket);
-        if (closed != null) {
-            closed.close();
+        NetSocket chosen = mConnections.add(socket);
+        if (chosen == socket) {
+            socket.close();
+            return;
+        }
+        closeUnlessUsed(chosen);
+        closeUnlessUsed(mConnections.chooseAboveLimit());
+    }
+
+    /**
+     * Closes a connection on its event loop, which also receives its messages, or another one if it
+     * has sent a whole message before.
+     *
+     * @param chosen the connection, null for none
+     */
+    private void closeUnlessUsed(NetSocket chosen) {
+        if (chosen == null) {
+            return;
         }
+        ((NetSocketInternal) chosen)
+                .channelHandlerContext()
+                .executor()
+                .execute(
+                        () -> {
+                            if (mConnections.giveWay(chosen)) {
+                                chosen.close();
+                            } else {
+                                closeUnlessUsed(mConnections.chooseAboveLimit());
+                            }
+                        });
     }
 
     private void onMessage(NetSocket socket, Envelope message) {
