Report the place of a waiting step only with its start

Cause: MinionSelector.choose reported the place of a task when a minion was chosen. A step that its account's cap then blocked, or a gang that was short of one place, reported a place in each pass, and the bound of its wait began again. Change: Dispatcher reports it beside the start of the task, for gangs as well, so that the wait of a gang ends with its last task. Measured: NearPlacesTest.aStepThatItsAccountsCapBlocksReportsNoPlaceUntilItStarts saw an end near the data before the step had started; with the change one begun wait and one end. NearPlacesTest, GangTest, AccountCapTest and ShardTest pass.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -139,8 +139,7 @@
                 return step.mWaitingCount;
             }
             if (minion != null) {
-                mRoom.onStarted(step);
-                mLifecycle.start(task, minion, MinionSelector.ticket(step, minion, nowNanos));
+                start(task, minion, nowNanos);
                 started++;
                 hasRoom = started < maxTasks;
             } else {
@@ -203,13 +202,18 @@
             TaskEntry task = waiting.get(i);
             task.mRun = run;
             task.mCheckpoint = checkpoint;
-            mRoom.onStarted(step);
-            mLifecycle.start(
-                    task, chosen.get(i), MinionSelector.ticket(step, chosen.get(i), nowNanos));
+            start(task, chosen.get(i), nowNanos);
         }
         return 0;
     }
 
+    private void start(TaskEntry task, MinionSession minion, long nowNanos) {
+        StepEntry step = task.mStep;
+        mRoom.onStarted(step);
+        mMinions.onStarting(step, minion, nowNanos);
+        mLifecycle.start(task, minion, MinionSelector.ticket(step, minion, nowNanos));
+    }
+
     /** A step with waiting tasks, and its rank. */
     record Candidate(StepEntry step, StepRank rank) {}
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSelector.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSelector.java
@@ -57,10 +57,14 @@
             mNearPlaces.onNotPlaced(step, waits, nowNanos);
             return null;
         }
-        mNearPlaces.onPlaced(step, best, nowNanos);
         return best;
     }
 
+    /** Records that a task of a step is certain to start on a minion, before it is assigned. */
+    void onStarting(StepEntry step, MinionSession minion, long nowNanos) {
+        mNearPlaces.onPlaced(step, minion, nowNanos);
+    }
+
     /** Returns whether a step can run on a minion that is not in quarantine, now or later. */
     private boolean hasSoundMinion(StepEntry step, long nowNanos) {
         for (MinionSession minion : mState.mMinions.values()) {
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/NearPlacesTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/NearPlacesTest.java
@@ -6,7 +6,10 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.endivetray.daemon.job.shard.VirtualMinions.Start;
+import org.endivetray.job.ClientAccount;
+import org.endivetray.job.ClientAccounts;
 import org.endivetray.job.MinionInfo;
+import org.endivetray.job.Resources;
 import org.endivetray.job.StepSpec;
 import org.endivetray.job.TaskEnd;
 import org.junit.jupiter.api.Test;
@@ -71,6 +74,30 @@
                 (task, run) -> new VirtualMinions.Outcome(millis, TaskEnd.DONE);
     }
 
+    /** Sets the cap of the account "ferry", in cores. */
+    private void setCap(int cores) {
+        ClientAccount account =
+                new ClientAccount("ferry", Set.of(), 0, 1, new Resources(cores * 1_000L, 0, 0));
+        mHarness.mAccounts = ClientAccounts.of(List.of(account), Set.of()).withVersion(cores);
+    }
+
+    private void submitForAccount(Shard shard, int job, StepSpec step) {
+        shard.submit(ShardHarness.QUEUE, "ferry", ShardHarness.id(job), ShardHarness.job(step));
+    }
+
+    /** Returns how often waits for a near place have begun or ended in a way. */
+    private double waits(String event) {
+        String prefix =
+                "endivetray_near_waits_total{event=\"%s\",pool=\"%s\"} "
+                        .formatted(event, ShardHarness.POOL);
+        return mHarness.mMetrics
+                .text()
+                .lines()
+                .filter(line -> line.startsWith(prefix))
+                .mapToDouble(line -> Double.parseDouble(line.substring(prefix.length())))
+                .sum();
+    }
+
     /** Returns the minions on which tasks of the job with a number have been started. */
     private List<String> minionsOf(int job) {
         return mHarness.mMinions.mStarts.stream()
@@ -228,6 +255,31 @@
         assertThat(minionsOf(1)).containsExactlyInAnyOrder("p1", "q1");
     }
 
+    @Test
+    void aStepThatItsAccountsCapBlocksReportsNoPlaceUntilItStarts() {
+        Shard shard = startWith("p1", "q1", "q2");
+        setCap(8);
+        mHarness.mMinions.mBehaviour =
+                (task, run) ->
+                        new VirtualMinions.Outcome(
+                                task.startsWith(ShardHarness.id(1)) ? LONG_MILLIS : SHORT_MILLIS,
+                                TaskEnd.DONE);
+        submitForAccount(shard, 1, step(1, LONG_MILLIS, "q"));
+        mHarness.run(ORDER_MILLIS, shard);
+        mHarness.submit(shard, 2, step(1, SHORT_MILLIS, "p"));
+        mHarness.run(ORDER_MILLIS, shard);
+        submitForAccount(shard, 3, step(1, SHORT_MILLIS, "p"));
+        mHarness.run(SHORT_MILLIS + ORDER_MILLIS, shard);
+        assertThat(minionsOf(3)).isEmpty();
+        assertThat(waits("begun")).isEqualTo(1);
+        assertThat(waits("near")).isZero();
+        setCap(16);
+        mHarness.run(ORDER_MILLIS, shard);
+        assertThat(minionsOf(3)).containsExactly("p1");
+        assertThat(waits("begun")).isEqualTo(1);
+        assertThat(waits("near")).isEqualTo(1);
+    }
+
     @Test
     void noTaskWaitsWhileTheFactorIsNotLearnt() {
         Shard shard = startWith("p1", "q1");
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
@@ -37,6 +37,7 @@
     final VirtualMinions mMinions = new VirtualMinions(mExecutor);
     final List<MinionInfo> mRegistered = new ArrayList<>();
     final MemoryUse mMemory = new MemoryUse();
+    final JobMetrics mMetrics = new JobMetrics();
     boolean mMayAct = true;
 
     /** Multiple of its duration that a task takes away from its data, 0 if it is learnt. */
@@ -79,7 +80,7 @@
                         mExecutor,
                         mMemory,
                         () -> mMayAct,
-                        new JobMetrics(),
+                        mMetrics,
                         new ShardLimits(
                                 LEASE_MILLIS,
                                 STOP_MILLIS,
