Bound the wait of a job with nothing running in a half-empty pool

Cause: a wait for a near place was bounded only by the time that it can gain, which is longer than 3 s for long tasks. A job that has nothing running for 3 s, while there is capacity for it and less than half of it is in use, counts as lost. Change: such a job waits at most 2 s in all; a job of which a task is assigned, or in a fuller pool, waits as before. Measured: NearPlacePolicyTest.aJobWithNothingRunningWaitsAtMostTwoSecondsInAPoolThatIsHalfEmpty waited for a place due in 3.2 s with the bound taken out, and starts away with it. Near*Test, *ShardTest and FarFactor* pass.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/NearPlaces.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/NearPlaces.java
@@ -205,7 +205,12 @@
                 place,
                 step.mSlackMillis,
                 waitedMillis(step, nowNanos),
-                mLoad);
+                mLoad,
+                hasRuns(step.mJob));
+    }
+
+    private static boolean hasRuns(JobEntry job) {
+        return job.loadedOccurrences().stream().anyMatch(each -> each.mAssignedTasks > 0);
     }
 
     private static long waitedMillis(StepEntry step, long nowNanos) {
--- a/policy/src/main/java/org/endivetray/policy/job/NearPlacePolicy.java
+++ b/policy/src/main/java/org/endivetray/policy/job/NearPlacePolicy.java
@@ -12,7 +12,8 @@
  * away holds its place for longer. Waiting tasks reserve nothing.
  *
  * <p>Invariants: a task waits at most as long as a run away takes longer, counted from the
- * beginning of its wait; a wait ends while a job that would be in time away still is.
+ * beginning of its wait; a wait ends while a job that would be in time away still is; a job with
+ * nothing running waits at most 2 s while the pool is under half of its capacity.
  *
  * <p>This class has no state and is thread-safe.
  */
@@ -26,6 +27,16 @@
     /** Slack that is kept in addition, as a wait ends with the next dispatch after its moment. */
     private static final long SLACK_MILLIS = 150;
 
+    /** Load of the pool under which a job must not have nothing running for long. */
+    private static final double IDLE_LOAD = 0.5;
+
+    /**
+     * Longest wait of a job that has nothing running while the pool is under that load. A job that
+     * has nothing running for 3 s although there is capacity for it counts as lost; the rest of
+     * that time covers the start order and a dispatch after the bound.
+     */
+    private static final long MAX_IDLE_WAIT_MILLIS = 2_000;
+
     private NearPlacePolicy() {}
 
     /** What to do with a task. */
@@ -60,6 +71,7 @@
      *     then runs near its data, in milliseconds; negative if the job is late
      * @param waitedMillis how long it has waited for a near place, in milliseconds, 0 or more
      * @param load share of the pool's capacity that is in use, from 0 to 1
+     * @param hasRuns whether a task of the job is assigned to a minion
      */
     public record Facts(
             long nearMillis,
@@ -67,7 +79,8 @@
             TimeEstimate place,
             long slackMillis,
             long waitedMillis,
-            double load) {
+            double load,
+            boolean hasRuns) {
         /** Returns how much longer the task takes away, in milliseconds. */
         public long lossMillis() {
             return Math.round((farFactor - 1) * nearMillis);
@@ -104,7 +117,10 @@
 
     /** Returns the longest time that a task may go on waiting, in milliseconds. */
     private static long longestWaitMillis(Facts facts) {
-        long bound = facts.lossMillis() - facts.waitedMillis();
+        boolean isIdle = facts.load() < IDLE_LOAD && !facts.hasRuns();
+        long most =
+                isIdle ? Math.min(MAX_IDLE_WAIT_MILLIS, facts.lossMillis()) : facts.lossMillis();
+        long bound = most - facts.waitedMillis();
         long slackAway = facts.slackMillis() - facts.lossMillis();
         if (slackAway < 0) {
             // A job that is late away loses no more than the bound by waiting.
--- a/policy/src/test/java/org/endivetray/policy/job/NearPlaceLoad.java
+++ b/policy/src/test/java/org/endivetray/policy/job/NearPlaceLoad.java
@@ -200,7 +200,8 @@
                             place,
                             job.slackMillis(now),
                             waited,
-                            load);
+                            load,
+                            job.mOpen > job.mWaiting);
             if (!mRule.waits(facts)) {
                 break;
             }
--- a/policy/src/test/java/org/endivetray/policy/job/NearPlacePolicyTest.java
+++ b/policy/src/test/java/org/endivetray/policy/job/NearPlacePolicyTest.java
@@ -80,7 +80,7 @@
     }
 
     private static Facts facts(long place, long slack, long waited) {
-        return new Facts(1_000, 2, new TimeEstimate(place, place + 200), slack, waited, 0.5);
+        return new Facts(1_000, 2, new TimeEstimate(place, place + 200), slack, waited, 0.5, true);
     }
 
     @Test
@@ -91,21 +91,21 @@
 
     @Test
     void aTaskDoesNotWaitIfNoEndIsDueNearIt() {
-        Facts facts = new Facts(1_000, 3, null, 5_000, 0, 0.5);
+        Facts facts = new Facts(1_000, 3, null, 5_000, 0, 0.5, true);
         assertFalse(NearPlacePolicy.decide(facts).action().waits());
     }
 
     @Test
     void aTaskDoesNotWaitWhileTheFactorIsNotKnown() {
-        Facts facts = new Facts(1_000, 1, TimeEstimate.NOW, 5_000, 0, 0.5);
+        Facts facts = new Facts(1_000, 1, TimeEstimate.NOW, 5_000, 0, 0.5, true);
         assertFalse(NearPlacePolicy.decide(facts).action().waits());
     }
 
     @Test
     void anUncertainPlaceIsWaitedForOnlyInAFullPool() {
         TimeEstimate place = new TimeEstimate(400, 2_000);
-        Facts idle = new Facts(1_000, 2, place, 5_000, 0, 0);
-        Facts full = new Facts(1_000, 2, place, 5_000, 0, 1);
+        Facts idle = new Facts(1_000, 2, place, 5_000, 0, 0, true);
+        Facts full = new Facts(1_000, 2, place, 5_000, 0, 1, true);
         assertFalse(NearPlacePolicy.decide(idle).action().waits());
         assertTrue(NearPlacePolicy.decide(full).action().waits());
     }
@@ -115,6 +115,21 @@
         assertTrue(NearPlacePolicy.decide(facts(300, -2_000, 0)).action().waits());
     }
 
+    private static Facts ofLateLongTask(long place, long waited, double load, boolean hasRuns) {
+        return new Facts(7_000, 1.5, new TimeEstimate(place, place), -1_000, waited, load, hasRuns);
+    }
+
+    @Test
+    void aJobWithNothingRunningWaitsAtMostTwoSecondsInAPoolThatIsHalfEmpty() {
+        assertFalse(NearPlacePolicy.decide(ofLateLongTask(3_200, 0, 0.3, false)).action().waits());
+        assertTrue(NearPlacePolicy.decide(ofLateLongTask(3_200, 0, 0.3, true)).action().waits());
+        assertTrue(NearPlacePolicy.decide(ofLateLongTask(3_200, 0, 0.5, false)).action().waits());
+        assertEquals(
+                400, NearPlacePolicy.decide(ofLateLongTask(400, 1_500, 0.3, false)).untilMillis());
+        assertFalse(
+                NearPlacePolicy.decide(ofLateLongTask(400, 2_000, 0.3, false)).action().waits());
+    }
+
     @Test
     void aWaitIsBoundedAndNeverMakesAJobLateThatWouldBeInTimeAway() {
         Random random = new Random(7);
@@ -127,7 +142,8 @@
                             new TimeEstimate(due, due + random.nextInt(3_000)),
                             random.nextInt(9_000) - 1_000,
                             random.nextInt(3_000),
-                            random.nextDouble());
+                            random.nextDouble(),
+                            random.nextBoolean());
             Decision decision = NearPlacePolicy.decide(facts);
             if (!decision.action().waits()) {
                 assertEquals(0, decision.untilMillis());
