Forecast places only for steps that may wait, once per minion and pass

Cause: each pass measured the load of the pool and forecast the ends on all minions for each step that names a rack or belongs in one, also while the factor was not known or the loss too small for a wait, and again for each such step. Change: nothing is forecast for a step that would not wait for a place due at once; a step that belongs in one rack then goes to the rack with places for all of it now, as before, but in none is no rack preferred until its first task is placed. Whether a gang's places are free is counted, not forecast. The ends on a minion are kept for a pass while its tasks stay the same, the racks of a step likewise; the load is measured when the first step that may wait needs it, with what the pass has started by then. endivetray_place_forecasts_total counts the forecasts of a minion. Near*Test, *ShardTest, FarFactor*, GangTest and AccountCapTest pass; processor time was not measured.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -46,7 +46,7 @@
             collect(job, nowNanos, nowMillis, candidates);
         }
         mRoom.count(nowNanos);
-        mMinions.beginPass(nowNanos);
+        mMinions.beginPass();
         if (mContext.accounts().get().isEnforced()) {
             mAccounts.run(
                     candidates, (step, maxTasks) -> place(step, maxTasks, nowNanos), nowNanos);
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSelector.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSelector.java
@@ -32,8 +32,8 @@
     }
 
     /** Begins a pass of the dispatcher, in which steps are given in the order of their ranks. */
-    void beginPass(long nowNanos) {
-        mNearPlaces.beginPass(nowNanos);
+    void beginPass() {
+        mNearPlaces.beginPass();
     }
 
     /** Returns the ticket with which a task of a step may start on a minion, empty if none. */
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
@@ -52,6 +52,7 @@
     private int mUsedCpuMillis;
     private int mUsedMemoryMb;
     private int mUsedGpus;
+    private int mTaskChanges;
 
     /** Runs that are no current run of a task and are being stopped, as listed last. */
     private final List<Orphan> mOrphans = new ArrayList<>();
@@ -256,8 +257,15 @@
         return mUsedCpuMillis;
     }
 
+    /** Returns how often a task has been assigned to the minion or released. */
+    int taskChanges() {
+        return mTaskChanges;
+    }
+
     /** Assigns a task to the minion and reserves its resources. */
     void assign(TaskEntry task) {
+        mTaskChanges++;
+        task.mStep.mPlaceChanges++;
         StepSpec spec = task.mStep.mSpec;
         mTasks.put(task.mName, task);
         mUsedCpuMillis += spec.reservedCpuMillis();
@@ -270,6 +278,8 @@
 
     /** Removes a task from the minion and frees its resources. */
     void release(TaskEntry task) {
+        mTaskChanges++;
+        task.mStep.mPlaceChanges++;
         StepSpec spec = task.mStep.mSpec;
         mTasks.remove(task.mName);
         mUsedCpuMillis -= spec.reservedCpuMillis();
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/NearPlaces.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/NearPlaces.java
@@ -31,6 +31,8 @@
 final class NearPlaces {
     private static final Logger LOGGER = System.getLogger(NearPlaces.class.getName());
 
+    private static final double UNKNOWN = -1;
+
     private final ShardContext mContext;
     private final ShardState mState;
     private final DurationModel mDurations;
@@ -45,10 +47,17 @@
     /** Rack in which this pass starts the tasks of a step that belong in one rack. */
     private final Map<StepEntry, String> mCommonRacks = new IdentityHashMap<>();
 
+    /** Whether a step may wait in this pass, whatever is forecast. */
+    private final Map<StepEntry, Boolean> mMayWait = new IdentityHashMap<>();
+
+    /** Racks of the assigned tasks of a step that belong in one rack, as found in this pass. */
+    private final Map<StepEntry, Racks> mRacks = new IdentityHashMap<>();
+
     /** Tasks in this pass for which no minion has room, of steps that went before. */
     private int mUnplaced;
 
-    private double mLoad;
+    /** Share of the pool in use as the first step of this pass that may wait finds it. */
+    private double mLoad = UNKNOWN;
 
     NearPlaces(ShardContext context, ShardState state, DurationModel durations) {
         mContext = context;
@@ -58,15 +67,25 @@
     }
 
     /** Begins a pass of the dispatcher. */
-    void beginPass(long nowNanos) {
+    void beginPass() {
         mWaitingPerRack.clear();
         mWaits.clear();
         mCommonRacks.clear();
+        mMayWait.clear();
+        mRacks.clear();
         mUnplaced = 0;
-        mLoad = load(nowNanos);
+        mLoad = UNKNOWN;
+        mForecast.beginPass();
     }
 
     private double load(long nowNanos) {
+        if (mLoad == UNKNOWN) {
+            mLoad = measureLoad(nowNanos);
+        }
+        return mLoad;
+    }
+
+    private double measureLoad(long nowNanos) {
         long used = 0;
         long capacity = 0;
         for (MinionSession minion : mState.mMinions.values()) {
@@ -108,6 +127,19 @@
         return racks;
     }
 
+    /** The racks of the assigned tasks of a step after a number of changes of their places. */
+    private record Racks(int changes, Set<String> names) {}
+
+    /** Returns the racks on which tasks of a step are assigned now. */
+    private Set<String> currentRacksOf(StepEntry step) {
+        Racks known = mRacks.get(step);
+        if (known == null || known.changes() != step.mPlaceChanges) {
+            known = new Racks(step.mPlaceChanges, racksOf(step, mState, true));
+            mRacks.put(step, known);
+        }
+        return known.names();
+    }
+
     /** Returns whether a minion is near for a step; for a step that has no rack, all are. */
     boolean isNear(StepEntry step, MinionSession minion, long nowNanos) {
         StepSpec spec = step.mSpec;
@@ -129,10 +161,11 @@
         if (!step.mSpec.sameRack()) {
             return "";
         }
-        Set<String> racks = racksOf(step, mState, true);
+        Set<String> racks = currentRacksOf(step);
         if (racks.isEmpty()) {
             return mCommonRacks.computeIfAbsent(
-                    step, ignored -> mForecast.soonestRack(step, nowNanos));
+                    step,
+                    ignored -> mForecast.soonestRack(step, mayWait(step, nowNanos), nowNanos));
         }
         return racks.size() == 1 ? racks.iterator().next() : "";
     }
@@ -143,8 +176,11 @@
      */
     boolean waits(StepEntry step, MinionSession best, long nowNanos) {
         StepSpec spec = step.mSpec;
-        boolean isChosenForGang = spec.gang() && !racksOf(step, mState, true).isEmpty();
-        if (!hasNearRack(spec) || spec.longRunning() || isChosenForGang) {
+        if (!hasNearRack(spec) || !mayWait(step, nowNanos)) {
+            return false;
+        }
+        boolean isChosenForGang = spec.gang() && !currentRacksOf(step).isEmpty();
+        if (isChosenForGang) {
             return false;
         }
         boolean isNear = isNear(step, best, nowNanos);
@@ -159,19 +195,31 @@
         return step.mWaitingCount <= planned;
     }
 
+    /** Returns whether a step would wait for a place that is due at once; if not, it never does. */
+    private boolean mayWait(StepEntry step, long nowNanos) {
+        return mMayWait.computeIfAbsent(
+                step,
+                ignored -> {
+                    // What is left to do after a checkpoint is not known.
+                    boolean canWait =
+                            !step.mSpec.longRunning()
+                                    && mDurations.farFactor().value() > 1
+                                    && step.mTasks.stream()
+                                            .allMatch(task -> task.mCheckpoint.isEmpty());
+                    Facts soonest = canWait ? facts(step, TimeEstimate.NOW, nowNanos) : null;
+                    return canWait && NearPlacePolicy.decide(soonest).action().waits();
+                });
+    }
+
     /** Returns whether the rack of a step has places for all its waiting tasks now. */
     private boolean hasPlacesForAll(StepEntry step, long nowNanos) {
-        int count = step.mWaitingCount;
-        List<TimeEstimate> places = mForecast.places(step, rackOf(step, nowNanos), count, nowNanos);
-        return places.size() >= count && places.get(count - 1).equals(TimeEstimate.NOW);
+        return mForecast.hasPlacesNow(step, rackOf(step, nowNanos), step.mWaitingCount, nowNanos);
     }
 
     /** Returns the number of the waiting tasks of a step for which it pays to wait. */
     private int plan(StepEntry step, long nowNanos) {
         String rack = rackOf(step, nowNanos);
-        // What is left to do after a checkpoint is not known.
-        boolean isResuming = step.mTasks.stream().anyMatch(task -> !task.mCheckpoint.isEmpty());
-        if (rack.isEmpty() || isResuming) {
+        if (rack.isEmpty()) {
             return 0;
         }
         int ahead = mUnplaced + mWaitingPerRack.getOrDefault(rack, 0);
@@ -205,7 +253,7 @@
                 place,
                 step.mSlackMillis,
                 waitedMillis(step, nowNanos),
-                mLoad,
+                load(nowNanos),
                 hasRuns(step.mJob));
     }
 
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/PlaceForecast.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/PlaceForecast.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +18,9 @@
  * <p>Only minions count on which tasks of the step could be started now if they had room: not those
  * that are draining, in quarantine, without the required label or without a ticket.
  *
+ * <p>Invariants: in one pass of the dispatcher, the ends due on a minion are forecast at most once
+ * for each set of tasks that is assigned to it.
+ *
  * <p>This class is not thread-safe; it belongs to the scheduler's thread.
  */
 final class PlaceForecast {
@@ -27,14 +31,27 @@
     private final ShardState mState;
     private final DurationModel mDurations;
 
+    /** The ends due on each minion, as forecast in this pass. */
+    private final Map<MinionSession, DueEnds> mDueEnds = new IdentityHashMap<>();
+
     PlaceForecast(ShardContext context, ShardState state, DurationModel durations) {
         mContext = context;
         mState = state;
         mDurations = durations;
     }
 
-    /** A run that is due to end. */
-    private record DueEnd(StepSpec spec, TimeEstimate time) {}
+    /** Begins a pass of the dispatcher. */
+    void beginPass() {
+        mDueEnds.clear();
+    }
+
+    /** A run that is due to end; none for the resources that are free now. */
+    private record DueEnd(StepSpec spec, TimeEstimate time) {
+        private static final DueEnd NONE = new DueEnd(null, TimeEstimate.NOW);
+    }
+
+    /** The ends due on a minion after a number of changes of its tasks. */
+    private record DueEnds(int changes, List<DueEnd> ends) {}
 
     /**
      * Returns when the places in a rack are free, soonest first; those that are free now count.
@@ -47,13 +64,26 @@
             if (minion.info().labels().contains(rack)
                     && MinionSelector.isSuitable(step, minion, nowNanos)
                     && hasTicket(step, minion, nowNanos)) {
-                addPlaces(step, minion, limit, nowNanos, places);
+                addPlaces(step, minion, limit, dueEnds(minion, nowNanos), places);
             }
         }
         places.sort(BY_TIME);
         return places;
     }
 
+    /** Returns whether a rack has a number of places for the tasks of a step now. */
+    boolean hasPlacesNow(StepEntry step, String rack, int count, long nowNanos) {
+        List<TimeEstimate> places = new ArrayList<>();
+        for (MinionSession minion : mState.mMinions.values()) {
+            if (minion.info().labels().contains(rack)
+                    && MinionSelector.isSuitable(step, minion, nowNanos)
+                    && hasTicket(step, minion, nowNanos)) {
+                addPlaces(step, minion, count, List.of(DueEnd.NONE), places);
+            }
+        }
+        return places.size() >= count;
+    }
+
     private boolean hasTicket(StepEntry step, MinionSession minion, long nowNanos) {
         boolean isAdvised =
                 step.mJob.mStored.queue().placementAdvice() && mContext.advisor() != null;
@@ -64,7 +94,7 @@
             StepEntry step,
             MinionSession minion,
             int limit,
-            long nowNanos,
+            List<DueEnd> ends,
             List<TimeEstimate> places) {
         StepSpec spec = step.mSpec;
         int most =
@@ -76,7 +106,7 @@
         int memoryMb = 0;
         int gpus = 0;
         TimeEstimate time = TimeEstimate.NOW;
-        for (DueEnd end : dueEnds(minion, nowNanos)) {
+        for (DueEnd end : ends) {
             cpuMillis += end.spec() == null ? 0 : end.spec().reservedCpuMillis();
             memoryMb += end.spec() == null ? 0 : end.spec().memoryMb();
             gpus += end.spec() == null ? 0 : end.spec().gpus();
@@ -93,8 +123,18 @@
 
     /** Returns the ends that are due on a minion, soonest first, after one that frees nothing. */
     private List<DueEnd> dueEnds(MinionSession minion, long nowNanos) {
+        DueEnds known = mDueEnds.get(minion);
+        if (known == null || known.changes() != minion.taskChanges()) {
+            known = new DueEnds(minion.taskChanges(), forecastEnds(minion, nowNanos));
+            mDueEnds.put(minion, known);
+        }
+        return known.ends();
+    }
+
+    private List<DueEnd> forecastEnds(MinionSession minion, long nowNanos) {
+        mContext.metrics().onPlaceForecast(mState.mPool);
         List<DueEnd> ends = new ArrayList<>();
-        ends.add(new DueEnd(null, TimeEstimate.NOW));
+        ends.add(DueEnd.NONE);
         for (TaskEntry task : minion.tasks().values()) {
             if (!task.mStep.mSpec.longRunning()) {
                 ends.add(new DueEnd(task.mStep.mSpec, remaining(task, minion, nowNanos)));
@@ -117,26 +157,43 @@
     /**
      * Returns the rack that has places for all waiting tasks of a step soonest, empty if no rack
      * ever has. Of racks that have them now, it is the one with the fewest.
+     *
+     * @param mayWait whether the step may wait; if not, only places that are free now count and
+     *     nothing is forecast
      */
-    String soonestRack(StepEntry step, long nowNanos) {
-        Map<String, Boolean> racks = new LinkedHashMap<>();
-        mState.mMinions.values().forEach(minion -> racks.put(minion.info().rack(), true));
+    String soonestRack(StepEntry step, boolean mayWait, long nowNanos) {
         int count = step.mWaitingCount;
         String best = "";
         long soonest = Long.MAX_VALUE;
         int fewest = Integer.MAX_VALUE;
-        for (String rack : racks.keySet()) {
-            List<TimeEstimate> places = places(step, rack, count, nowNanos);
-            if (rack.isEmpty() || places.size() < count) {
+        for (var rack : placesPerRack(step, mayWait, nowNanos).entrySet()) {
+            List<TimeEstimate> places = rack.getValue();
+            if (rack.getKey().isEmpty() || places.size() < count) {
                 continue;
             }
+            places.sort(BY_TIME);
             long time = places.get(count - 1).expectedMillis();
             if (time < soonest || time == soonest && places.size() < fewest) {
-                best = rack;
+                best = rack.getKey();
                 soonest = time;
                 fewest = places.size();
             }
         }
         return best;
     }
+
+    private Map<String, List<TimeEstimate>> placesPerRack(
+            StepEntry step, boolean mayWait, long nowNanos) {
+        Map<String, List<TimeEstimate>> racks = new LinkedHashMap<>();
+        for (MinionSession minion : mState.mMinions.values()) {
+            if (MinionSelector.isSuitable(step, minion, nowNanos)
+                    && hasTicket(step, minion, nowNanos)) {
+                List<DueEnd> ends = mayWait ? dueEnds(minion, nowNanos) : List.of(DueEnd.NONE);
+                List<TimeEstimate> places =
+                        racks.computeIfAbsent(minion.info().rack(), ignored -> new ArrayList<>());
+                addPlaces(step, minion, step.mWaitingCount, ends, places);
+            }
+        }
+        return racks;
+    }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/StepEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/StepEntry.java
@@ -21,6 +21,10 @@
     final String mName;
     final List<TaskEntry> mTasks = new ArrayList<>();
     final Map<String, Integer> mCountPerMinion = new HashMap<>();
+
+    /** How often one of its tasks has been assigned to a minion or released. */
+    int mPlaceChanges;
+
     int mDoneCount;
     int mWaitingCount;
     PlacementTickets mTickets;
--- a/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
@@ -106,6 +106,11 @@
                             + " ended.",
                     "pool",
                     "event");
+    private final Counter mPlaceForecasts =
+            counter(
+                    "endivetray_place_forecasts",
+                    "Forecasts of the ends on a minion, for steps that may wait for a near place.",
+                    "pool");
     private final Counter mNearWaitGain =
             counter(
                     "endivetray_near_wait_gain_seconds",
@@ -221,6 +226,11 @@
         mHeldRecordBytes.set(use.recordBytes());
     }
 
+    /** Records that the ends on a minion were forecast. */
+    public void onPlaceForecast(String pool) {
+        mPlaceForecasts.labelValues(pool).inc();
+    }
+
     /** Records that tasks of a step began to wait for a near place. */
     public void onNearWaitBegun(String pool) {
         mNearWaits.labelValues(pool, "begun").inc();
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/NearPlacesTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/NearPlacesTest.java
@@ -87,9 +87,18 @@
 
     /** Returns how often waits for a near place have begun or ended in a way. */
     private double waits(String event) {
-        String prefix =
+        return metric(
                 "endivetray_near_waits_total{event=\"%s\",pool=\"%s\"} "
-                        .formatted(event, ShardHarness.POOL);
+                        .formatted(event, ShardHarness.POOL));
+    }
+
+    /** Returns how often the ends on a minion have been forecast. */
+    private double forecasts() {
+        return metric(
+                "endivetray_place_forecasts_total{pool=\"%s\"} ".formatted(ShardHarness.POOL));
+    }
+
+    private double metric(String prefix) {
         return mHarness.mMetrics
                 .text()
                 .lines()
@@ -293,4 +302,63 @@
         mHarness.run(100, shard);
         assertThat(minionsOf(2)).containsExactly("q1");
     }
+
+    private double forecastsIn(long millis, Shard shard) {
+        double before = forecasts();
+        mHarness.run(millis, shard);
+        return forecasts() - before;
+    }
+
+    @Test
+    void aPassForecastsAMinionOnceHoweverManyStepsWaitForIt() {
+        Shard shard = startWith("p1", "p2", "p3", "q1");
+        letTasksTake(LONG_MILLIS);
+        mHarness.submit(shard, 1, step(3, LONG_MILLIS, "p"));
+        mHarness.run(ORDER_MILLIS, shard);
+        mHarness.submit(shard, 2, step(1, LONG_MILLIS, "p"));
+        mHarness.run(ORDER_MILLIS, shard);
+        double forOne = forecastsIn(1_000, shard);
+        mHarness.submit(shard, 3, step(1, LONG_MILLIS, "p"));
+        mHarness.submit(shard, 4, step(1, LONG_MILLIS, "p"));
+        mHarness.run(ORDER_MILLIS, shard);
+        assertThat(waits("begun")).isEqualTo(3);
+        assertThat(forecastsIn(1_000, shard)).isPositive().isLessThan(forOne * 1.5);
+    }
+
+    @Test
+    void nothingIsForecastForStepsThatNameNoRack() {
+        Shard shard = startWith("p1", "q1");
+        letTasksTake(LONG_MILLIS);
+        mHarness.submit(shard, 1, step(3, LONG_MILLIS, ""));
+        mHarness.submit(shard, 2, step(3, LONG_MILLIS, true, false, ""));
+        assertThat(forecastsIn(1_000, shard)).isZero();
+    }
+
+    @Test
+    void nothingIsForecastIfTheLossOfARunAwayIsTooSmallForAWait() {
+        Shard shard = startWith("p1", "p2", "q1", "q2", "q3");
+        letTasksTake(SHORT_MILLIS);
+        mHarness.submit(shard, 1, step(2, SHORT_MILLIS, "p"));
+        mHarness.run(ORDER_MILLIS, shard);
+        mHarness.submit(shard, 2, step(1, 20, "p"));
+        mHarness.submit(shard, 3, step(2, 20, true, true, ""));
+        assertThat(forecastsIn(ORDER_MILLIS, shard)).isZero();
+        assertThat(minionsOf(2)).hasSize(1);
+        assertThat(racksOf(3)).containsExactly("q");
+    }
+
+    @Test
+    void nothingIsForecastWhileTheFactorIsNotLearnt() {
+        startWith("p1", "p2", "q1", "q2", "q3");
+        mHarness.mFarFactor = 0;
+        Shard shard = mHarness.takeOver();
+        mHarness.run(ORDER_MILLIS, shard);
+        letTasksTake(LONG_MILLIS);
+        mHarness.submit(shard, 1, step(3, LONG_MILLIS, false, true, ""));
+        assertThat(forecastsIn(ORDER_MILLIS, shard)).isZero();
+        mHarness.submit(shard, 2, step(3, LONG_MILLIS, true, true, ""));
+        mHarness.submit(shard, 3, step(1, LONG_MILLIS, "q"));
+        assertThat(forecastsIn(1_000, shard)).isZero();
+        assertThat(racksOf(1)).containsExactly("q");
+    }
 }
