Test that a gang short of one place reports no place

Change: a gang waits, its wait ends while it is short of one place, and it reports its places when it starts.

--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/NearPlacesTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/NearPlacesTest.java
@@ -289,6 +289,26 @@
         assertThat(waits("near")).isEqualTo(1);
     }
 
+    @Test
+    void aGangThatIsShortOfOnePlaceAfterItsWaitReportsNoPlaceUntilItStarts() {
+        Shard shard = startWith("p1", "p2", "q1");
+        mHarness.mMinions.mBehaviour =
+                (task, run) ->
+                        new VirtualMinions.Outcome(
+                                task.startsWith(ShardHarness.id(3)) ? SHORT_MILLIS : LONG_MILLIS,
+                                TaskEnd.DONE);
+        mHarness.submit(shard, 1, step(2, SHORT_MILLIS, "p"));
+        mHarness.run(ORDER_MILLIS, shard);
+        mHarness.submit(shard, 2, step(2, SHORT_MILLIS, true, true, ""));
+        mHarness.run(3 * SHORT_MILLIS + ORDER_MILLIS, shard);
+        assertThat(minionsOf(2)).isEmpty();
+        assertThat(waits("begun")).isEqualTo(1);
+        assertThat(waits("near") + waits("away")).isZero();
+        mHarness.run(LONG_MILLIS, shard);
+        assertThat(minionsOf(2)).hasSize(2);
+        assertThat(waits("near") + waits("away")).isEqualTo(2);
+    }
+
     @Test
     void noTaskWaitsWhileTheFactorIsNotLearnt() {
         Shard shard = startWith("p1", "q1");
