Move the resources of a minion out of MinionSession

Change: MinionRoom holds what the tasks of a minion reserve and what listed runs without a task take; callers ask room() for it. Measured: Near*Test, *ShardTest, FarFactor*, GangTest and AccountCapTest pass.

--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/AccountRoom.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/AccountRoom.java
@@ -133,12 +133,12 @@
         mFree = Resources.NONE;
         for (MinionSession minion : mState.mMinions.values()) {
             if (minion.isAvailable(nowNanos)) {
-                mFree = mFree.plus(minion.free());
+                mFree = mFree.plus(minion.room().free());
             }
             for (TaskEntry task : minion.tasks().values()) {
                 addUsed(task.mStep.mJob.mStored.account(), task.mStep.mSpec);
             }
-            for (MinionSession.Orphan orphan : minion.orphans()) {
+            for (MinionRoom.Orphan orphan : minion.room().orphans()) {
                 addUsed(orphan.account(), orphan.needs());
             }
         }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionRecord.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionRecord.java
@@ -160,7 +160,7 @@
                         inherited -> {
                             Set<String> names = new HashSet<>(inherited);
                             names.addAll(session.tasks().keySet());
-                            names.addAll(session.orphanTasks());
+                            names.addAll(session.room().orphanTasks());
                             return names;
                         });
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSelector.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSelector.java
@@ -125,7 +125,9 @@
                                 && minion.mHealth.mayProbe(nowNanos)
                                 && allows(step, minion)
                         : isSuitable(step, minion, nowNanos);
-        return mayStart && minion.mStartsInFlight < MAX_STARTS_IN_FLIGHT && minion.fits(step.mSpec);
+        return mayStart
+                && minion.mStartsInFlight < MAX_STARTS_IN_FLIGHT
+                && minion.room().fits(step.mSpec);
     }
 
     /** Returns whether a task of a step could be started on a minion now if it had room. */
@@ -154,7 +156,8 @@
      */
     private double score(StepEntry step, MinionSession minion, long nowNanos) {
         StepSpec spec = step.mSpec;
-        double free = minion.freeCpuMillis() / (double) Math.max(1, minion.info().cpuMillis());
+        double free =
+                minion.room().freeCpuMillis() / (double) Math.max(1, minion.info().cpuMillis());
         if (spec.fills()) {
             return free - servingTasks(minion);
         }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSession.java
@@ -1,25 +1,18 @@
 package org.endivetray.daemon.job.shard;
 
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.endivetray.job.MinionInfo;
-import org.endivetray.job.Resources;
-import org.endivetray.job.StepSpec;
 import org.endivetray.platform.MinionOrders;
 import org.endivetray.policy.job.MinionHealth;
 
 /**
- * The owner's view of one minion: its clock, its lease, its resources and its tasks.
+ * The owner's view of one minion: its clock, its lease, its tasks and, in {@link MinionRoom}, its
+ * resources.
  *
- * <p>Invariants: the resources in use are the sum of the needs of the minion's tasks; the lease is
- * never considered to have expired before it has expired on the minion, whichever owner has
- * extended it.
+ * <p>Invariants: the resources of its tasks are reserved; the lease is never considered to have
+ * expired before it has expired on the minion, whichever owner has extended it.
  *
  * <p>This class is not thread-safe; it belongs to the scheduler's thread.
  */
@@ -43,26 +36,15 @@
     final IncarnationFence mFence = new IncarnationFence();
 
     private final Map<String, TaskEntry> mTasks = new LinkedHashMap<>();
+    private final MinionRoom mRoom;
     private MinionInfo mInfo;
     private long mIncarnationMillis;
     private long mClockMillis;
     private long mClockNanos;
     private boolean mHasClock;
     private long mLeaseExpiryNanos;
-    private int mUsedCpuMillis;
-    private int mUsedMemoryMb;
-    private int mUsedGpus;
     private int mTaskChanges;
 
-    /** Runs that are no current run of a task and are being stopped, as listed last. */
-    private final List<Orphan> mOrphans = new ArrayList<>();
-
-    /** Names of the tasks of these runs. */
-    private final Set<String> mOrphanTasks = new HashSet<>();
-
-    /** Whether a run of an unknown job was listed last, of which the needs are not known. */
-    private boolean mHasUnknownOrphan;
-
     boolean mIsRegistered = true;
     long mUnregisteredNanos;
     boolean mIsListing;
@@ -98,6 +80,7 @@
 
     MinionSession(MinionInfo info) {
         mInfo = info;
+        mRoom = new MinionRoom(info);
     }
 
     String id() {
@@ -110,12 +93,18 @@
 
     void updateInfo(MinionInfo info) {
         mInfo = info;
+        mRoom.updateInfo(info);
     }
 
     Map<String, TaskEntry> tasks() {
         return mTasks;
     }
 
+    /** Returns its resources. */
+    MinionRoom room() {
+        return mRoom;
+    }
+
     /** Records that a listing was requested for which the minion may wait before it answers. */
     void onListingRequested(int waitMillis, long nowNanos) {
         mIsListing = true;
@@ -136,13 +125,13 @@
 
     /** Returns whether a run on the minion is being stopped. */
     boolean isStopping() {
-        return hasOrphans()
+        return mRoom.hasOrphans()
                 || mTasks.values().stream().anyMatch(task -> task.mPhase == TaskPhase.STOPPING);
     }
 
     /** Returns whether the minion has answered and no task is assigned to it. */
     boolean isKnownEmpty() {
-        return mHasResponded && mTasks.isEmpty() && !hasOrphans();
+        return mHasResponded && mTasks.isEmpty() && !mRoom.hasOrphans();
     }
 
     /** Returns whether long-running tasks may be starting up on the minion. */
@@ -160,7 +149,7 @@
         return mIsResponding
                 && mIsRegistered
                 && mIsRecorded
-                && !mHasUnknownOrphan
+                && !mRoom.hasUnknownOrphan()
                 && !mInfo.draining()
                 && !isDrainRequested(nowNanos)
                 && nowNanos - mNoRoomUntilNanos >= 0;
@@ -171,92 +160,6 @@
         return nowNanos - mDrainUntilNanos < 0;
     }
 
-    /** Returns whether a task of a step fits into the free resources. */
-    boolean fits(StepSpec spec) {
-        return countThatFit(spec, 0, 0, 0) > 0;
-    }
-
-    /**
-     * Returns how many tasks of a step fit into the resources that are free once those of ended
-     * runs are.
-     *
-     * @param releasedCpuMillis CPU that the runs release, in thousandths of a core
-     * @param releasedMemoryMb memory that they release, in megabytes
-     * @param releasedGpus number of accelerators that they release
-     */
-    int countThatFit(StepSpec spec, int releasedCpuMillis, int releasedMemoryMb, int releasedGpus) {
-        int cpuMillis = mInfo.cpuMillis() - mUsedCpuMillis + releasedCpuMillis;
-        int memoryMb = mInfo.memoryMb() - mUsedMemoryMb + releasedMemoryMb;
-        int gpus = mInfo.gpus() - mUsedGpus + releasedGpus;
-        for (Orphan each : mOrphans) {
-            StepSpec orphan = each.needs();
-            cpuMillis -= orphan.reservedCpuMillis();
-            memoryMb -= orphan.memoryMb();
-            gpus -= orphan.gpus();
-        }
-        return Math.min(
-                times(spec.reservedCpuMillis(), cpuMillis),
-                Math.min(times(spec.memoryMb(), memoryMb), times(spec.gpus(), gpus)));
-    }
-
-    /** Returns how many times a need fits into what is free, 0 if that is negative. */
-    private static int times(int need, int free) {
-        if (free < 0) {
-            return 0;
-        }
-        return need == 0 ? Integer.MAX_VALUE : free / need;
-    }
-
-    /** Forgets the runs without a task that an earlier listing has named. */
-    void clearOrphans() {
-        mOrphans.clear();
-        mOrphanTasks.clear();
-        mHasUnknownOrphan = false;
-    }
-
-    /**
-     * Counts a listed run that is no current run of its task.
-     *
-     * @param task name of the task, not null
-     * @param needs what the run takes, empty if it is not known
-     * @param account name of the client account, not null
-     */
-    void addOrphan(String task, Optional<StepSpec> needs, String account) {
-        mOrphanTasks.add(task);
-        needs.ifPresent(present -> mOrphans.add(new Orphan(present, account)));
-        mHasUnknownOrphan |= needs.isEmpty();
-    }
-
-    /** Returns the listed runs that are no current runs of a task and whose needs are known. */
-    List<Orphan> orphans() {
-        return mOrphans;
-    }
-
-    /** Returns the names of the tasks whose listed runs are no current ones. */
-    Set<String> orphanTasks() {
-        return mOrphanTasks;
-    }
-
-    private boolean hasOrphans() {
-        return mHasUnknownOrphan || !mOrphans.isEmpty();
-    }
-
-    int freeCpuMillis() {
-        return mInfo.cpuMillis() - mUsedCpuMillis;
-    }
-
-    /** Returns what tasks could still take. */
-    Resources free() {
-        return new Resources(
-                mInfo.cpuMillis() - mUsedCpuMillis,
-                mInfo.memoryMb() - mUsedMemoryMb,
-                mInfo.gpus() - mUsedGpus);
-    }
-
-    int usedCpuMillis() {
-        return mUsedCpuMillis;
-    }
-
     /** Returns how often a task has been assigned to the minion or released. */
     int taskChanges() {
         return mTaskChanges;
@@ -266,11 +169,8 @@
     void assign(TaskEntry task) {
         mTaskChanges++;
         task.mStep.mPlaceChanges++;
-        StepSpec spec = task.mStep.mSpec;
         mTasks.put(task.mName, task);
-        mUsedCpuMillis += spec.reservedCpuMillis();
-        mUsedMemoryMb += spec.memoryMb();
-        mUsedGpus += spec.gpus();
+        mRoom.reserve(task.mStep.mSpec);
         task.mMinion = this;
         task.mStep.mCountPerMinion.merge(id(), 1, Integer::sum);
         task.mStep.mOccurrence.mAssignedTasks++;
@@ -280,11 +180,8 @@
     void release(TaskEntry task) {
         mTaskChanges++;
         task.mStep.mPlaceChanges++;
-        StepSpec spec = task.mStep.mSpec;
         mTasks.remove(task.mName);
-        mUsedCpuMillis -= spec.reservedCpuMillis();
-        mUsedMemoryMb -= spec.memoryMb();
-        mUsedGpus -= spec.gpus();
+        mRoom.release(task.mStep.mSpec);
         task.onReleased();
         task.mStep.mCountPerMinion.merge(id(), -1, Integer::sum);
         task.mStep.mOccurrence.mAssignedTasks--;
@@ -430,12 +327,4 @@
         long lastSeen = isRecent ? mLastStoredEnd : 0;
         return new MinionOrders.LeaseOrder(leaseEnd, lastSeen, waitMillis, mFence.token());
     }
-
-    /**
-     * A listed run that is no current run of a task.
-     *
-     * @param needs the step of its task, not null
-     * @param account the client account of its job, empty for none, not null
-     */
-    record Orphan(StepSpec needs, String account) {}
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/NearPlaces.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/NearPlaces.java
@@ -90,7 +90,7 @@
         long capacity = 0;
         for (MinionSession minion : mState.mMinions.values()) {
             if (minion.isSchedulable(nowNanos)) {
-                used += minion.usedCpuMillis();
+                used += minion.room().usedCpuMillis();
                 capacity += minion.info().cpuMillis();
             }
         }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/PlaceForecast.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/PlaceForecast.java
@@ -111,7 +111,8 @@
             memoryMb += end.spec() == null ? 0 : end.spec().memoryMb();
             gpus += end.spec() == null ? 0 : end.spec().gpus();
             time = time.and(end.time());
-            int fitting = Math.min(most, minion.countThatFit(spec, cpuMillis, memoryMb, gpus));
+            int fitting =
+                    Math.min(most, minion.room().countThatFit(spec, cpuMillis, memoryMb, gpus));
             for (; found < fitting; found++) {
                 places.add(time);
             }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/PoolLoadMeter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/PoolLoadMeter.java
@@ -38,7 +38,7 @@
         List<String> empty = new ArrayList<>();
         List<String> pinned = new ArrayList<>();
         for (MinionSession minion : mState.mMinions.values()) {
-            used += minion.usedCpuMillis();
+            used += minion.room().usedCpuMillis();
             total += minion.isSchedulable(nowNanos) ? minion.info().cpuMillis() : 0;
             if (minion.isKnownEmpty()) {
                 empty.add(minion.id());
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/RunReconciler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/RunReconciler.java
@@ -50,15 +50,16 @@
     void onListed(MinionSession session, RunListing listing, long sentNanos) {
         onRunsEnded(session, listing.ended());
         Set<String> confirmed = new HashSet<>();
-        session.clearOrphans();
+        session.room().clearOrphans();
         for (RunningTask running : listing.running()) {
             if (reconcile(session, running)) {
                 confirmed.add(running.task());
             } else {
-                session.addOrphan(
-                        running.task(),
-                        mState.needsOf(running.task()),
-                        mState.accountOf(running.task()));
+                session.room()
+                        .addOrphan(
+                                running.task(),
+                                mState.needsOf(running.task()),
+                                mState.accountOf(running.task()));
                 mLifecycle.stopOrphan(session, running.task(), running.run());
             }
         }
