--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSelector.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionSelector.java
@@ -32,8 +32,8 @@
     }
 
     /** Begins a pass of the dispatcher, in which steps are given in the order of their ranks. */
-    void beginPass(long nowNanos) {
-        mNearPlaces.beginPass(nowNanos);
+    void beginPass() {
+        mNearPlaces.beginPass();
     }
 
     /** Returns the ticket with which a task of a step may start on a minion, empty if none. */
@@ -57,10 +57,14 @@
             mNearPlaces.onNotPlaced(step, waits, nowNanos);
             return null;
         }
-        mNearPlaces.onPlaced(step, best, nowNanos);
         return best;
     }
 
+    /** Records that a task of a step is certain to start on a minion, before it is assigned. */
+    void onStarting(StepEntry step, MinionSession minion, long nowNanos) {
+        mNearPlaces.onPlaced(step, minion, nowNanos);
+    }
+
     /** Returns whether a step can run on a minion that is not in quarantine, now or later. */
     private boolean hasSoundMinion(StepEntry step, long nowNanos) {
         for (MinionSession minion : mState.mMinions.values()) {
@@ -121,7 +125,9 @@
                                 && minion.mHealth.mayProbe(nowNanos)
                                 && allows(step, minion)
                         : isSuitable(step, minion, nowNanos);
-        return mayStart && minion.mStartsInFlight < MAX_STARTS_IN_FLIGHT && minion.fits(step.mSpec);
+        return mayStart
+                && minion.mStartsInFlight < MAX_STARTS_IN_FLIGHT
+                && minion.room().fits(step.mSpec);
     }
 
     /** Returns whether a task of a step could be started on a minion now if it had room. */
@@ -150,7 +156,8 @@
      */
     private double score(StepEntry step, MinionSession minion, long nowNanos) {
         StepSpec spec = step.mSpec;
-        double free = minion.freeCpuMillis() / (double) Math.max(1, minion.info().cpuMillis());
+        double free =
+                minion.room().freeCpuMillis() / (double) Math.max(1, minion.info().cpuMillis());
         if (spec.fills()) {
             return free - servingTasks(minion);
         }
