Test crowds of clients at every port of both daemons

What callers saw: the daemon of the earlier protocol runs out of memory under 900 bodies of 1 MiB less a byte; a daemon may open more descriptors than its host has; 900 clients that send 2,000 requests each without reading keep ordinary ones without an answer. Each checks that the process lives, its memory, its descriptors in all samples, that nothing ran out, and that ordinary clients are served beside the crowd and after it. Crowd and bounds were fixed before the product was changed.

--- a/proof/src/test/java/org/endivetray/proof/soak/ClientCrowd.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/ClientCrowd.java
@@ -21,10 +21,13 @@
 final class ClientCrowd implements AutoCloseable {
     private static final long SEND_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(20);
     private static final long NO_PROGRESS_MILLIS = 1_500;
+    private static final long IDLE_MILLIS = 20;
     private static final int CLOSED = -1;
 
+    private final InetSocketAddress mAddress;
     private final List<SocketChannel> mChannels = new ArrayList<>();
     private final int[] mSent;
+    private long mPeakTakenBytes;
 
     /**
      * Opens connections.
@@ -33,25 +36,39 @@
      * @param connections number of connections
      */
     ClientCrowd(InetSocketAddress address, int connections) throws IOException {
+        mAddress = address;
         mSent = new int[connections];
         for (int i = 0; i < connections; i++) {
-            SocketChannel channel = SocketChannel.open();
-            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-            try {
-                channel.socket().connect(address, (int) NO_PROGRESS_MILLIS);
-            } catch (IOException e) {
-                mSent[i] = CLOSED;
-            }
-            channel.configureBlocking(false);
-            mChannels.add(channel);
+            mChannels.add(connect(i));
+        }
+    }
+
+    private SocketChannel connect(int i) throws IOException {
+        SocketChannel channel = SocketChannel.open();
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        mSent[i] = 0;
+        try {
+            channel.socket().connect(mAddress, (int) NO_PROGRESS_MILLIS);
+        } catch (IOException e) {
+            mSent[i] = CLOSED;
+        }
+        channel.configureBlocking(false);
+        return channel;
+    }
+
+    /** Closes each connection and opens another one, in turn. */
+    void comeBack() throws IOException {
+        for (int i = 0; i < mSent.length; i++) {
+            mChannels.get(i).close();
+            mChannels.set(i, connect(i));
         }
     }
 
     /**
      * Sends bytes on each connection, in turns of at most {@code pieceBytes}, until all are sent or
-     * none takes any more.
+     * none takes any more. What the daemon has taken is measured whenever none takes any more.
      */
-    void send(byte[] bytes, int pieceBytes) throws InterruptedException {
+    void send(byte[] bytes, int pieceBytes) throws IOException, InterruptedException {
         long end = System.nanoTime() + SEND_LIMIT_NANOS;
         long idleMillis = 0;
         while (idleMillis < NO_PROGRESS_MILLIS && System.nanoTime() - end < 0) {
@@ -69,8 +86,9 @@
             if (sentBytes() > before) {
                 idleMillis = 0;
             } else {
-                idleMillis += 20;
-                Thread.sleep(20);
+                idleMillis += IDLE_MILLIS;
+                Thread.sleep(IDLE_MILLIS);
+                measureTaken();
             }
         }
     }
@@ -84,6 +102,27 @@
         }
     }
 
+    /** Returns the most bytes that the daemon had taken from open connections and not answered. */
+    long peakTakenBytes() {
+        return mPeakTakenBytes;
+    }
+
+    /** Measures what has been taken; bytes on their way between two queues count as taken. */
+    private void measureTaken() throws IOException {
+        int[] sent = mSent.clone();
+        SocketQueues queues = SocketQueues.read();
+        long taken = 0;
+        for (int i = 0; i < sent.length; i++) {
+            if (sent[i] != CLOSED) {
+                InetSocketAddress client =
+                        (InetSocketAddress) mChannels.get(i).socket().getLocalSocketAddress();
+                long queued = queues.bytesOfConnection(client, mAddress);
+                taken += queued < 0 ? 0 : sent[i] - queued;
+            }
+        }
+        mPeakTakenBytes = Math.max(mPeakTakenBytes, taken);
+    }
+
     private long sentBytes() {
         return Arrays.stream(mSent).filter(sent -> sent > 0).asLongStream().sum();
     }
--- a/proof/src/test/java/org/endivetray/proof/soak/ClientCrowdTest.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/ClientCrowdTest.java
@@ -9,6 +9,8 @@
 import java.util.Arrays;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Clients that send more than a daemon can hold, against a daemon with lowered limits.
@@ -19,30 +21,38 @@
  */
 class ClientCrowdTest {
     /** Limits that fit the heap with which the daemons run. */
+    private static final int MAX_BODY_BYTES = 262_144;
+
+    private static final long INTAKE_BYTES = 4 << 20;
+
     private static final String LIMITS =
-            "\"intakeBytes\": 4194304, \"maxConnections\": 300, \"maxInnerConnections\": 16,";
+            "\"intakeBytes\": "
+                    + INTAKE_BYTES
+                    + ", \"maxConnections\": 300, \"maxInnerConnections\": 16,";
 
     private static final String FEW_CONNECTIONS =
             "\"intakeBytes\": 4194304, \"maxConnections\": 80, \"maxInnerConnections\": 16,";
 
+    private static final String MANY_CONNECTIONS =
+            "\"intakeBytes\": 4194304, \"maxConnections\": 1000, \"maxInnerConnections\": 1000,";
+
     private static final int CROWD = 400;
-    private static final int PIPELINED_CROWD = 10;
+    private static final int LARGE_CROWD = 900;
+    private static final int PIPELINED_CROWD = 40;
+
+    /**
+     * Bytes that may be read from connections behind a request that is not answered: those in the
+     * room for bodies, and once it is answered, those of refused bodies that are discarded.
+     */
+    private static final long MAX_TAKEN_BYTES = INTAKE_BYTES + PIPELINED_CROWD * MAX_BODY_BYTES;
 
     /** Descriptors of a process that has few, and how many of them clients may not take. */
     private static final int DESCRIPTORS = 200;
 
     private static final int SPARE_DESCRIPTORS = 20;
-    private static final long MAX_RESIDENT_MIB = 192;
-
-    /**
-     * Resident memory while nothing is read behind a request that waits, in MiB: measured 91, and
-     * 140 when the pauses for small chunks switched reading on again (trials, one run each).
-     */
-    private static final long MAX_STOPPED_MIB = 120;
-
     private static final long MAX_OPEN_DESCRIPTORS = 400;
+    private static final long MAX_MANY_DESCRIPTORS = 1_100;
 
-    private static final int MAX_BODY_BYTES = 262_144;
     private static final int PIECE_BYTES = 2_048;
     private static final int WHOLE = Integer.MAX_VALUE;
     private static final String CHUNKED = "Transfer-Encoding: chunked";
@@ -97,7 +107,8 @@
     /** Starts a daemon, sends the bytes on each connection and checks what must hold. */
     private void holdsAgainst(int crowd, byte[] bytes, int pieceBytes) throws Exception {
         mSite = new CrowdSite(LIMITS, 0);
-        holdsAgainst(mSite.front(), crowd, bytes, pieceBytes, MAX_OPEN_DESCRIPTORS);
+        holdsAgainst(
+                mSite.address(CrowdPort.FRONT), crowd, bytes, pieceBytes, MAX_OPEN_DESCRIPTORS);
     }
 
     private void holdsAgainst(
@@ -105,13 +116,13 @@
             throws Exception {
         try (ClientCrowd clients = new ClientCrowd(address, crowd)) {
             clients.send(bytes, pieceBytes);
-            assertThat(mSite.isAlive()).as("the daemon lives").isTrue();
+            assertThat(mSite.process().isAlive()).as("the daemon lives").isTrue();
             assertThat(mSite.submitWithRetries()).as("a job beside the crowd").isEqualTo(200);
-            assertThat(mSite.residentMib()).as("MiB").isBetween(1L, MAX_RESIDENT_MIB);
-            assertThat(mSite.descriptors()).as("descriptors").isBetween(1L, descriptors);
+            assertThat(mSite.usedMib()).as("MiB").isBetween(1L, mSite.maxUsedMib());
+            assertThat(mSite.process().descriptors()).as("descriptors").isBetween(1L, descriptors);
         }
         assertThat(mSite.submitWithRetries()).as("a job after the crowd").isEqualTo(200);
-        assertThat(mSite.isAlive()).as("the daemon lives").isTrue();
+        assertThat(mSite.process().isAlive()).as("the daemon lives").isTrue();
     }
 
     @Test
@@ -164,7 +175,7 @@
     void anOrdinaryClientIsServedBesideMoreIdleConnectionsThanDescriptors() throws Exception {
         mSite = new CrowdSite(FEW_CONNECTIONS, DESCRIPTORS);
         holdsAgainst(
-                mSite.front(),
+                mSite.address(CrowdPort.FRONT),
                 2 * DESCRIPTORS,
                 new byte[0],
                 WHOLE,
@@ -174,10 +185,10 @@
     @Test
     void idleConnectionsToTheInnerPortsLeaveDescriptorsForClients() throws Exception {
         mSite = new CrowdSite(FEW_CONNECTIONS, DESCRIPTORS);
-        try (ClientCrowd metrics = new ClientCrowd(mSite.metrics(), DESCRIPTORS);
-                ClientCrowd ready = new ClientCrowd(mSite.ready(), DESCRIPTORS)) {
+        try (ClientCrowd metrics = new ClientCrowd(mSite.address(CrowdPort.METRICS), DESCRIPTORS);
+                ClientCrowd ready = new ClientCrowd(mSite.address(CrowdPort.READY), DESCRIPTORS)) {
             holdsAgainst(
-                    mSite.inner(),
+                    mSite.address(CrowdPort.INNER),
                     DESCRIPTORS,
                     new byte[0],
                     WHOLE,
@@ -197,6 +208,24 @@
         holdsAgainst(40, many.array(), 65_536);
     }
 
+    @ParameterizedTest
+    @EnumSource(
+            value = CrowdPort.class,
+            names = {"FRONT", "READY", "METRICS"})
+    void anOrdinaryClientIsServedBesideManyRequestsWhoseAnswersAreNotRead(CrowdPort port)
+            throws Exception {
+        mSite = new CrowdSite(MANY_CONNECTIONS, 0);
+        try (ClientCrowd clients = new ClientCrowd(mSite.address(port), LARGE_CROWD)) {
+            clients.send(CrowdLoad.UNREAD_ANSWERS.bytes(port), WHOLE);
+            assertThat(mSite.process().isAlive()).as("the daemon lives").isTrue();
+            assertThat(mSite.servesOrdinaryClients()).as("beside the crowd").isTrue();
+            assertThat(mSite.usedMib()).as("MiB").isBetween(1L, mSite.maxUsedMib());
+            assertThat(mSite.process().descriptors()).isBetween(1L, MAX_MANY_DESCRIPTORS);
+        }
+        assertThat(mSite.servesOrdinaryClients()).as("after the crowd").isTrue();
+        assertThat(mSite.process().isAlive()).as("the daemon lives").isTrue();
+    }
+
     @Test
     void aDaemonLivesThroughChunksBehindARequestThatIsNotAnswered() throws Exception {
         mSite = new CrowdSite(LIMITS, 0);
@@ -205,11 +234,13 @@
         byte[] tiny = chunked(1, 4_000);
         byte[] bytes = join(whole, tiny, chunks(8_192, 1 << 24));
         mSite.freezeStore(true);
-        try (ClientCrowd clients = new ClientCrowd(mSite.front(), PIPELINED_CROWD)) {
+        try (ClientCrowd clients =
+                new ClientCrowd(mSite.address(CrowdPort.FRONT), PIPELINED_CROWD)) {
             clients.send(bytes, 65_536);
-            assertThat(mSite.isAlive()).as("the daemon lives").isTrue();
-            assertThat(mSite.residentMib()).as("MiB").isBetween(1L, MAX_STOPPED_MIB);
-            assertThat(mSite.descriptors()).isBetween(1L, MAX_OPEN_DESCRIPTORS);
+            assertThat(mSite.process().isAlive()).as("the daemon lives").isTrue();
+            assertThat(mSite.usedMib()).as("MiB").isBetween(1L, mSite.maxUsedMib());
+            assertThat(clients.peakTakenBytes()).as("bytes taken").isBetween(1L, MAX_TAKEN_BYTES);
+            assertThat(mSite.process().descriptors()).isBetween(1L, MAX_OPEN_DESCRIPTORS);
         }
         mSite.freezeStore(false);
         assertThat(mSite.submitWithRetries()).as("a job after the crowd").isEqualTo(200);
@@ -220,7 +251,7 @@
         mSite = new CrowdSite(LIMITS, 0);
         int length = 4 << 20;
         byte[] frame = ByteBuffer.allocate(length).putInt(length).array();
-        holdsAgainst(mSite.inner(), 40, frame, 65_536, MAX_OPEN_DESCRIPTORS);
+        holdsAgainst(mSite.address(CrowdPort.INNER), 40, frame, 65_536, MAX_OPEN_DESCRIPTORS);
     }
 
     @Test
--- a/proof/src/test/java/org/endivetray/proof/soak/CrowdSite.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/CrowdSite.java
@@ -3,19 +3,16 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.ByteArrayOutputStream;
-import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
+import java.util.Map;
 
 /**
  * One daemon as a process of its own beside a store, without minions, for clients that send more
@@ -26,15 +23,11 @@
  *
  * <p>This class is not thread-safe.
  */
-final class CrowdSite implements AutoCloseable {
-    private static final String JAVA = System.getProperty("java.home") + "/bin/java";
-    private static final String DEPLOYED_HEAP = "-Xmx200m";
-    private static final String HEAP = "-Xmx48m";
+final class CrowdSite implements CrowdedSite {
+    private static final long DEPLOYED_HEAP_MIB = 200;
+    private static final long HEAP_MIB = 48;
     private static final int START_TRIES = 300;
-    private static final int SUBMIT_TRIES = 20;
     private static final int TRY_MILLIS = 100;
-    private static final int RETRY_MILLIS = 1_000;
-    private static final int CLIENT_TIMEOUT_MILLIS = 10_000;
 
     private final Path mFolder = Files.createTempDirectory("crowd");
     private final StoreEntrance mEntrance;
@@ -43,7 +36,7 @@
     private final int mReadyPort = freePort();
     private final int mInnerPort = freePort();
     private final int mMetricsPort = freePort();
-    private final Process mProcess;
+    private final CrowdedProcess mProcess;
     private long mNextJob = 0x1000;
 
     /**
@@ -102,24 +95,22 @@
                 "\"graceSeconds\": 6, \"logLevel\": \"INFO\"}");
     }
 
-    private Process start(Path settings, int descriptors) throws IOException {
-        Path root = Path.of("..").toRealPath();
+    private CrowdedProcess start(Path settings, int descriptors) throws IOException {
         List<String> command = new ArrayList<>();
-        if (descriptors > 0) {
-            command.addAll(List.of("sh", "-c", "ulimit -n " + descriptors + "; exec \"$@\"", "sh"));
-        }
-        for (String line : Files.readAllLines(root.resolve("deploy/system.toml"))) {
+        for (String line : Files.readAllLines(Path.of("../deploy/system.toml"))) {
             if (line.startsWith("run = ")) {
                 String run = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
                 command.addAll(List.of(run.split(" ")));
             }
         }
-        command.replaceAll(word -> word.equals("java") ? JAVA : word);
-        command.replaceAll(word -> word.equals(DEPLOYED_HEAP) ? HEAP : word);
-        ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile());
-        builder.environment().put("ENDIVETRAY_BOOT", settings.toString());
-        File log = mFolder.resolve("log").toFile();
-        return builder.redirectErrorStream(true).redirectOutput(log).start();
+        String deployed = "-Xmx" + DEPLOYED_HEAP_MIB + "m";
+        command.replaceAll(word -> word.equals("java") ? CrowdedProcess.JAVA : word);
+        command.replaceAll(word -> word.equals(deployed) ? "-Xmx" + HEAP_MIB + "m" : word);
+        return CrowdedProcess.start(
+                command,
+                Map.of("ENDIVETRAY_BOOT", settings.toString()),
+                mFolder.resolve("log"),
+                descriptors);
     }
 
     private void awaitFirstJob() throws InterruptedException {
@@ -132,83 +123,67 @@
         throw new AssertionError("the daemon accepts no job; see " + mFolder);
     }
 
-    InetSocketAddress front() {
-        return new InetSocketAddress(LoopbackServer.ADDRESS, mFrontPort);
+    @Override
+    public CrowdedProcess process() {
+        return mProcess;
     }
 
-    InetSocketAddress ready() {
-        return new InetSocketAddress(LoopbackServer.ADDRESS, mReadyPort);
+    @Override
+    public InetSocketAddress address(CrowdPort port) {
+        int number =
+                switch (port) {
+                    case FRONT -> mFrontPort;
+                    case READY -> mReadyPort;
+                    case METRICS -> mMetricsPort;
+                    default -> mInnerPort;
+                };
+        return new InetSocketAddress(LoopbackServer.ADDRESS, number);
     }
 
-    InetSocketAddress metrics() {
-        return new InetSocketAddress(LoopbackServer.ADDRESS, mMetricsPort);
+    @Override
+    public boolean servesOrdinaryClients() throws InterruptedException {
+        byte[] job = submission(256);
+        return OrdinaryClient.sendWithRetries(address(CrowdPort.FRONT), job) == 200
+                && status(CrowdPort.READY, "/api/ready") == 200
+                && status(CrowdPort.METRICS, "/metrics") == 200;
     }
 
-    InetSocketAddress inner() {
-        return new InetSocketAddress(LoopbackServer.ADDRESS, mInnerPort);
+    private int status(CrowdPort port, String path) throws InterruptedException {
+        return OrdinaryClient.sendWithRetries(address(port), OrdinaryClient.get(path, ""));
     }
 
-    /** Leaves the daemon's calls to the store without answers, or ends that. */
-    void freezeStore(boolean isFrozen) {
-        mEntrance.mIsSilent = isFrozen;
-    }
-
-    boolean isAlive() {
-        return mProcess.isAlive();
+    @Override
+    public boolean routesRequests() {
+        return false;
     }
 
-    /** Returns the resident memory of the process in MiB, 0 if it has ended. */
-    long residentMib() {
-        try (Stream<String> lines = Files.lines(Path.of("/proc/" + mProcess.pid() + "/status"))) {
-            return lines.filter(line -> line.startsWith("VmHWM:"))
-                    .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")) / 1_024)
-                    .sum();
-        } catch (IOException e) {
-            return 0;
-        }
+    @Override
+    public long maxUsedMib() {
+        return CrowdedProcess.maxUsedMib(DEPLOYED_HEAP_MIB, HEAP_MIB);
     }
 
-    /** Returns the number of open descriptors of the process, 0 if it has ended. */
-    long descriptors() {
-        try (Stream<Path> open = Files.list(Path.of("/proc/" + mProcess.pid() + "/fd"))) {
-            return open.count();
-        } catch (IOException e) {
-            return 0;
-        }
+    /** Leaves the daemon's calls to the store without answers, or ends that. */
+    void freezeStore(boolean isFrozen) {
+        mEntrance.mIsSilent = isFrozen;
     }
 
-    /** Submits a job as an ordinary client, which tries again as it is told; returns the status. */
+    /** Submits a job again after each refusal; returns the status. */
     int submitWithRetries() throws InterruptedException {
-        int status = submit(256);
-        for (int i = 1; i < SUBMIT_TRIES && status == 503; i++) {
-            Thread.sleep(RETRY_MILLIS);
-            status = submit(256);
-        }
-        return status;
+        return OrdinaryClient.sendAfterRefusals(address(CrowdPort.FRONT), submission(256));
     }
 
     /** Submits a job whose body has about the given size; returns 0 if there is no answer. */
     int submit(int bytes) {
+        return OrdinaryClient.send(address(CrowdPort.FRONT), submission(bytes));
+    }
+
+    private byte[] submission(int bytes) {
         byte[] body = job(bytes).getBytes(StandardCharsets.UTF_8);
         String path = "/alpha/" + String.format("%016x", mNextJob++);
-        try (Socket socket = new Socket()) {
-            socket.setSoTimeout(CLIENT_TIMEOUT_MILLIS);
-            socket.connect(front(), CLIENT_TIMEOUT_MILLIS);
-            socket.getOutputStream().write(head(path, "Content-Length: " + body.length));
-            socket.getOutputStream().write(body);
-            ByteArrayOutputStream answer = new ByteArrayOutputStream();
-            byte[] bytesRead = new byte[1_024];
-            while (answer.size() < "HTTP/1.1 200".length()) {
-                int count = socket.getInputStream().read(bytesRead);
-                if (count < 0) {
-                    return 0;
-                }
-                answer.write(bytesRead, 0, count);
-            }
-            return Integer.parseInt(answer.toString(StandardCharsets.US_ASCII).split(" ")[1]);
-        } catch (IOException e) {
-            return 0;
-        }
+        ByteArrayOutputStream request = new ByteArrayOutputStream();
+        request.writeBytes(head(path, "Content-Length: " + body.length));
+        request.writeBytes(body);
+        return request.toByteArray();
     }
 
     /** Returns a job of about the given size, at least that of the smallest. */
@@ -233,7 +208,7 @@
 
     @Override
     public void close() throws InterruptedException {
-        mProcess.destroyForcibly().waitFor(CLIENT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        mProcess.close();
         mEntrance.mServer.close();
         mWorkers.close();
     }
