Move the receipt of requests to a package of its own

Cause: the classes that bound what a port receives stood with those that speak the users' protocol, so that the daemon of the earlier protocol could not use them. Change: org.endivetray.platform.intake; the largest body, the name in the log and a time limit for the first head become parameters; a body may time out (reason timed_out). The ports of the daemon that schedules jobs behave as before.

--- a/daemon/src/main/java/org/endivetray/daemon/job/MetricsServer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/MetricsServer.java
@@ -5,7 +5,7 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import org.endivetray.daemon.observe.JobMetrics;
-import org.endivetray.platform.site.PortConnections;
+import org.endivetray.platform.intake.PortConnections;
 import org.endivetray.policy.intake.IntakeLimits;
 
 /**
@@ -27,7 +27,7 @@
 
     Future<Void> start(String host, int port) {
         return mConnections
-                .server(mVertx, new HttpServerOptions())
+                .server(mVertx, new HttpServerOptions().setMaxHeaderSize(IntakeLimits.MAX_HEAD_BYTES))
                 .requestHandler(this::onRequest)
                 .listen(port, host)
                 .mapEmpty();
--- a/policy/src/main/java/org/endivetray/policy/intake/IntakeReason.java
+++ b/policy/src/main/java/org/endivetray/policy/intake/IntakeReason.java
@@ -10,6 +10,8 @@
     TOO_LARGE,
     /** The body arrived too slowly while others waited for its room. */
     TOO_SLOW,
+    /** The body was not received within its time limit. */
+    TIMED_OUT,
     /** The limit of open connections was reached. */
     TOO_MANY_CONNECTIONS,
     /** Too many requests of a connection wait for the answer to an earlier one. */
