Stop accepting connections at a limit of the acceptor

What callers saw: maxConnections did not bound descriptors: 4,500 idle connections held 3,839, clients that came back 4,424 of 4,100. Cause: a connection is counted on the event loop that handles it. The acceptor is another thread and runs ahead of it by all that the loop is behind; and a closed connection keeps its descriptor until the next select of its loop. Change: AcceptLimits counts where connections are accepted, from acceptance until the descriptor is closed, and stops the acceptor of a port at its limit and 16 more, which take the place of others. What is above waits in the backlog.

--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -9,6 +9,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import org.endivetray.daemon.duty.Duty;
+import org.endivetray.daemon.intake.AcceptLimits;
 import org.endivetray.daemon.job.fleet.FleetContext;
 import org.endivetray.daemon.job.fleet.FleetManager;
 import org.endivetray.daemon.job.ownership.MinionDirectory;
@@ -39,6 +40,7 @@
 import org.endivetray.platform.site.SitePlacementAdvisor;
 import org.endivetray.platform.site.SiteStore;
 import org.endivetray.platform.site.SiteWorkerAdmin;
+import org.endivetray.policy.intake.IntakeLimits;
 import org.endivetray.wire.PeerServer;
 
 /**
@@ -82,6 +84,7 @@
     private static final long STOP_POLL_MILLIS = 20;
 
     private final JobSettings mSettings;
+    private final AcceptLimits mAcceptLimits = new AcceptLimits();
     private final Vertx mVertx;
     private final Duty mScheduler;
     private final DutyExecutor mExecutor;
@@ -190,8 +193,8 @@
                 false);
     }
 
-    private static Vertx newVertx() {
-        return Vertx.vertx(
+    private Vertx newVertx() {
+        return mAcceptLimits.newVertx(
                 new VertxOptions()
                         .setEventLoopPoolSize(1)
                         .setWorkerPoolSize(1)
@@ -262,8 +265,9 @@
         Future<Integer> inner = mPeerServer.start(mSettings.host(), mSettings.innerPort());
         Future<Void> front =
                 mHttpServer.start(mSettings.host(), mSettings.frontPort(), mSettings.readyPort());
-        Future<Void> metrics = mMetricsServer.start(mSettings.host(), mSettings.metricsPort());
+        Future<Integer> metrics = mMetricsServer.start(mSettings.host(), mSettings.metricsPort());
         Future.all(inner, front, metrics)
+                .onSuccess(ignored -> limitConnections(inner.result(), metrics.result()))
                 .onSuccess(
                         ignored ->
                                 LOGGER.log(
@@ -284,6 +288,14 @@
                 });
     }
 
+    private void limitConnections(int innerPort, int metricsPort) {
+        IntakeLimits limits = mSettings.intake();
+        mAcceptLimits.setLimit(mHttpServer.frontPort(), limits.connections());
+        mAcceptLimits.setLimit(mHttpServer.readyPort(), limits.innerConnections());
+        mAcceptLimits.setLimit(innerPort, limits.innerConnections());
+        mAcceptLimits.setLimit(metricsPort, limits.innerConnections());
+    }
+
     private void onSiteChange() {
         SiteConfig config = mSite.config();
         if (config == null) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/MetricsServer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/MetricsServer.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import org.endivetray.daemon.observe.JobMetrics;
@@ -25,12 +26,16 @@
                 new PortConnections(limits.innerConnections(), metrics::onRefusedBeforeReceipt);
     }
 
-    Future<Void> start(String host, int port) {
+    /** Starts listening and returns the port. */
+    Future<Integer> start(String host, int port) {
         return mConnections
-                .server(mVertx, new HttpServerOptions().setMaxHeaderSize(IntakeLimits.MAX_HEAD_BYTES))
+                .server(
+                        mVertx,
+                        new HttpServerOptions()
+                                .setMaxHeaderSize(IntakeLimits.MAX_HEAD_BYTES))
                 .requestHandler(this::onRequest)
                 .listen(port, host)
-                .mapEmpty();
+                .map(HttpServer::actualPort);
     }
 
     private void onRequest(HttpServerRequest request) {
