Close connections that send many requests in one read

What callers saw: no ordinary answer for 90 s beside 900 clients that send 2,000 small requests each without reading. Cause: the limit of 16 unanswered requests did not count those that the daemon answers by itself at once (an unknown queue, readiness, metrics): an event loop took all that each of 900 connections had sent before it came to another request. Change: more than 16 requests in one read close the connection too; reads with 4 requests and more are paced as those with very small chunks are, all such connections together at one read in 4 ms, a single one not at all. A client that waits for its answers meets neither. A pause that the server has cut short no longer switches reading on later, which could have happened behind the server's back.

--- a/policy/src/test/java/org/endivetray/policy/intake/ChunkPacingTest.java
+++ b/policy/src/test/java/org/endivetray/policy/intake/ReadPacingTest.java
@@ -4,15 +4,21 @@
 
 import org.junit.jupiter.api.Test;
 
-/** Tests how connections are paced that send bodies in very small chunks. */
-class ChunkPacingTest {
-    private final ChunkPacing mPacing = new ChunkPacing();
+/** Tests how connections are paced whose reads are costly for their size. */
+class ReadPacingTest {
+    private final ReadPacing mPacing = new ReadPacing();
 
     @Test
     void manyChunksOfAByteAreCostlyAndFewOrLargeOnesAreNot() {
-        assertThat(ChunkPacing.isCostly(300, 300)).isTrue();
-        assertThat(ChunkPacing.isCostly(31, 31)).isFalse();
-        assertThat(ChunkPacing.isCostly(300, 300 * 64)).isFalse();
+        assertThat(ReadPacing.isCostly(1, 300, 300)).isTrue();
+        assertThat(ReadPacing.isCostly(1, 31, 31)).isFalse();
+        assertThat(ReadPacing.isCostly(1, 300, 300 * 64)).isFalse();
+    }
+
+    @Test
+    void manyRequestsInAReadAreCostlyAndFewAreNot() {
+        assertThat(ReadPacing.isCostly(4, 0, 0)).isTrue();
+        assertThat(ReadPacing.isCostly(3, 0, 0)).isFalse();
     }
 
     @Test
