Bound the buffers of the kernel for each connection

What callers saw: nothing yet; a host would run out of memory. Cause: the kernel's own limits are 32 MiB to receive and 4 MiB to send a connection (here), for connections that are paced, that wait to be accepted, or that do not read their answers.

--- a/daemon/src/main/java/org/endivetray/daemon/intake/AcceptLimits.java
+++ b/daemon/src/main/java/org/endivetray/daemon/intake/AcceptLimits.java
@@ -9,13 +9,14 @@
 import io.vertx.core.transport.Transport;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.endivetray.policy.intake.IntakeLimits;
 
 /**
  * Bounds how many accepted connections each listening port of a daemon has open.
  *
  * <p>A server counts a connection on the event loop that handles it, which may be far behind the
  * acceptor. The acceptor therefore stops at a limit of its own; connections above it wait in the
- * backlog of the port, where they take no descriptor.
+ * backlog of the port, where they take no descriptor and little memory.
  *
  * <p>Invariants: a port has at most its limit of accepted connections open; a port without a limit
  * of its own has a small one.
@@ -59,6 +60,7 @@
         NioServerSocketChannel channel = new NioServerSocketChannel();
         // One at a time, since a read accepts all that it may before the gate sees the first.
         channel.config().setMaxMessagesPerRead(1);
+        channel.config().setReceiveBufferSize(IntakeLimits.SOCKET_BUFFER_BYTES);
         AcceptGate gate = new AcceptGate(channel, INITIAL_LIMIT);
         channel.pipeline().addLast("accept gate", gate);
         gate.whenBound(port -> mGates.put(port, gate));
--- a/daemon/src/main/java/org/endivetray/daemon/job/MetricsServer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/MetricsServer.java
@@ -32,6 +32,7 @@
                 .server(
                         mVertx,
                         new HttpServerOptions()
+                                .setAcceptBacklog(IntakeLimits.INNER_BACKLOG)
                                 .setMaxHeaderSize(IntakeLimits.MAX_HEAD_BYTES))
                 .requestHandler(this::onRequest)
                 .listen(port, host)
--- a/policy/src/main/java/org/endivetray/policy/intake/IntakeLimits.java
+++ b/policy/src/main/java/org/endivetray/policy/intake/IntakeLimits.java
@@ -17,6 +17,15 @@
     /** Largest head of a request, in bytes, as the interface to callers defines it. */
     public static final int MAX_HEAD_BYTES = 16_384;
 
+    /**
+     * Size of the kernel's buffers of a connection, which hold what is not read yet, in bytes. The
+     * kernel's own limits are far above the memory of a host for all connections together.
+     */
+    public static final int SOCKET_BUFFER_BYTES = 16 * 1_024;
+
+    /** Most connections to a port other than that of callers that wait to be accepted. */
+    public static final int INNER_BACKLOG = 256;
+
     /** Smallest budget, which holds a body of the largest size beside the share of small ones. */
     public static final long MIN_BODY_BYTES = 2L * MAX_BODY_BYTES;
 
--- a/wire/src/main/java/org/endivetray/wire/PeerServer.java
+++ b/wire/src/main/java/org/endivetray/wire/PeerServer.java
@@ -25,6 +25,9 @@
  * <p>This class is thread-safe.
  */
 public final class PeerServer {
+    /** Size of the kernel's buffers of a connection, in bytes; frames are larger than requests. */
+    private static final int SOCKET_BUFFER_BYTES = 64 * 1_024;
+
     /** Most bytes of replies that wait until a peer reads them. */
     private static final int MAX_UNREAD_BYTES = 2 * EnvelopeCodec.MAX_FRAME_BYTES;
 
@@ -80,6 +83,9 @@
                         new NetServerOptions()
                                 .setTcpNoDelay(true)
                                 .setTcpKeepAlive(true)
+                                .setAcceptBacklog(IntakeLimits.INNER_BACKLOG)
+                                .setReceiveBufferSize(SOCKET_BUFFER_BYTES)
+                                .setSendBufferSize(SOCKET_BUFFER_BYTES)
                                 .setReadIdleTimeout(READ_IDLE_SECONDS)
                                 .setIdleTimeoutUnit(TimeUnit.SECONDS));
         mLocalName = localName;
