Bound the lengths in a message by that of the message

What callers saw: a frame of 12 bytes to the inner port ends a daemon (OutOfMemoryError). Cause: the decoder allocates what a string or a container announces, up to 100 MB, before it looks for the bytes. Change: no string or container may be longer than its message.

--- a/wire/src/main/java/org/endivetray/wire/EnvelopeCodec.java
+++ b/wire/src/main/java/org/endivetray/wire/EnvelopeCodec.java
@@ -55,13 +55,17 @@
     /**
      * Returns the message that the bytes encode.
      *
+     * <p>A string or container whose announced length exceeds that of the message is an error; no
+     * memory is allocated for it.
+     *
      * @param bytes the encoded message without a length prefix, not null
      * @throws EndivetrayException with {@link ResultCode#INTERNAL} if the bytes are not a message
      */
     public static Envelope decode(byte[] bytes) {
         try {
             Envelope envelope = new Envelope();
-            new TDeserializer(new TCompactProtocol.Factory()).deserialize(envelope, bytes);
+            new TDeserializer(new TCompactProtocol.Factory(bytes.length, bytes.length))
+                    .deserialize(envelope, bytes);
             return envelope;
         } catch (TException e) {
             throw new EndivetrayException(ResultCode.INTERNAL, "cannot decode the message", e);
