Bound the replies that peers have not read, all together

What callers saw: no ordinary answer of the earlier daemon while clients of its inner port ask for the configuration and read nothing. Cause: each connection could hold 8 MiB of replies, 300 of them more than the heap. Change: ReplyBudget bounds the sum by the room that incomplete frames have; the connection that holds most is closed. A single reply of any size is sent.

--- a/wire/src/main/java/org/endivetray/wire/PeerServer.java
+++ b/wire/src/main/java/org/endivetray/wire/PeerServer.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
@@ -10,6 +11,7 @@
 import org.endivetray.policy.intake.ConnectionTable;
 import org.endivetray.policy.intake.IntakeBudget;
 import org.endivetray.policy.intake.IntakeLimits;
+import org.endivetray.policy.intake.ReplyBudget;
 import org.endivetray.wire.gen.Body;
 import org.endivetray.wire.gen.Envelope;
 
@@ -20,7 +22,8 @@
  * limit of connections. A peer's is closed when nothing has been received on it for long.
  *
  * <p>Invariants: each message receives at most one reply, which carries the id of the message; the
- * bytes of incomplete frames and the open connections stay within the limits.
+ * bytes of incomplete frames and of unread replies, and the open connections, stay within the
+ * limits.
  *
  * <p>This class is thread-safe.
  */
@@ -40,29 +43,12 @@
 
     private final NetServer mServer;
     private final IntakeBudget mBudget;
+    private final ReplyBudget<NetSocket> mReplies;
     private final ConnectionTable<NetSocket> mConnections;
     private final String mLocalName;
     private final long mLocalIncarnation;
     private final MessageHandler mHandler;
 
-    /**
-     * Constructs a server with the limits that follow from the heap, which has not been started.
-     *
-     * @param vertx supplies the event loops, not null
-     * @param localName the name of this daemon, not null
-     * @param localIncarnation the incarnation number of this daemon
-     * @param handler handles the messages, not null
-     */
-    public PeerServer(
-            Vertx vertx, String localName, long localIncarnation, MessageHandler handler) {
-        this(
-                vertx,
-                localName,
-                localIncarnation,
-                handler,
-                IntakeLimits.ofHeap(Runtime.getRuntime().maxMemory()));
-    }
-
     /**
      * Constructs a server that has not been started.
      *
@@ -92,6 +78,7 @@
         mLocalIncarnation = localIncarnation;
         mHandler = handler;
         mBudget = new IntakeBudget(limits.bodyBytes());
+        mReplies = new ReplyBudget<>(limits.bodyBytes());
         mConnections = new ConnectionTable<>(limits.innerConnections());
     }
 
@@ -119,6 +106,7 @@
         socket.closeHandler(
                 ignored -> {
                     reader.close();
+                    mReplies.removeAll(socket);
                     mConnections.remove(socket);
                 });
         socket.handler(
@@ -174,15 +162,22 @@
     private void reply(NetSocket socket, Envelope message) {
         mHandler.handle(message.getSender(), message.getIncarnation(), message.getBody())
                 .otherwise(cause -> Body.failure(String.valueOf(cause.getMessage())))
-                .onSuccess(
-                        body ->
-                                socket.write(
-                                        EnvelopeCodec.encode(
-                                                new Envelope(
-                                                        message.getId(),
-                                                        true,
-                                                        mLocalName,
-                                                        mLocalIncarnation,
-                                                        body))));
+                .onSuccess(body -> send(socket, reply(message, body)));
+    }
+
+    private Buffer reply(Envelope message, Body body) {
+        return EnvelopeCodec.encode(
+                new Envelope(message.getId(), true, mLocalName, mLocalIncarnation, body));
+    }
+
+    private void send(NetSocket socket, Buffer frame) {
+        int bytes = frame.length();
+        NetSocket unread = mReplies.add(socket, bytes);
+        if (unread != null) {
+            unread.close();
+        }
+        if (unread != socket) {
+            socket.write(frame).onComplete(ignored -> mReplies.remove(socket, bytes));
+        }
     }
 }
