Bound what the earlier daemon holds of its callers' requests

What callers saw: 900 bodies of 1 MiB less a byte end the daemon (OutOfMemoryError). Cause: each body was bounded, and the time for it, but not their sum; connections were not bounded at all. Change: the callers' port receives bodies as the other daemon does: room is reserved first (limits.intakeBytes, an eighth of the heap), slow bodies give way, and what does not fit is refused at once, 1015 INTAKE_FULL, notRun, with Retry-After; limits.callerConnections bounds the connections, and the acceptor. The validation of a head is a class of its own. One counter by reason, one log line in 5 s.

--- a/daemon/src/main/java/org/endivetray/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/Daemon.java
@@ -12,6 +12,7 @@
 import org.endivetray.daemon.fleet.PlanService;
 import org.endivetray.daemon.fleet.RecordWriter;
 import org.endivetray.daemon.http.OperatorServer;
+import org.endivetray.daemon.intake.AcceptLimits;
 import org.endivetray.daemon.membership.LeaseKeeper;
 import org.endivetray.daemon.membership.Membership;
 import org.endivetray.daemon.observe.Metrics;
@@ -47,6 +48,7 @@
     private static final long POLL_MILLIS = 50;
 
     private final Settings mSettings;
+    private final AcceptLimits mAcceptLimits = new AcceptLimits();
     private final Vertx mTrafficVertx;
     private final Vertx mControlVertx;
     private final Metrics mMetrics = new Metrics();
@@ -136,7 +138,8 @@
                                                         new Ports(
                                                                 servers.resultAt(0),
                                                                 servers.resultAt(1),
-                                                                peerPort)));
+                                                                peerPort)))
+                .onSuccess(this::limitConnections);
     }
 
     /**
@@ -167,8 +170,12 @@
                 && !mRouter.isDispatchSuspended();
     }
 
-    private static Vertx newVertx() {
-        return Vertx.vertx(
+    private void limitConnections(Ports ports) {
+        mAcceptLimits.setLimit(ports.callers(), mSettings.number(SettingKey.CALLER_CONNECTIONS));
+    }
+
+    private Vertx newVertx() {
+        return mAcceptLimits.newVertx(
                 new VertxOptions()
                         .setEventLoopPoolSize(1)
                         .setWorkerPoolSize(1)
--- a/daemon/src/main/java/org/endivetray/daemon/observe/Metrics.java
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/Metrics.java
@@ -5,6 +5,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.endivetray.ResultCode;
+import org.endivetray.policy.intake.IntakeReason;
 
 /**
  * The metrics of a daemon that routes requests.
@@ -25,6 +26,11 @@
                     "Requests by service and result code.",
                     "service",
                     "code");
+    private final Counter mNotReceived =
+            counter(
+                    "endivetray_requests_not_received",
+                    "Requests refused, and connections closed, before receipt, by reason.",
+                    "reason");
     private final Counter mRetries =
             counter("endivetray_retries", "Requests sent to a second minion.", "service");
     private final Counter mPeerMessages =
@@ -84,6 +90,11 @@
         mLatency.labelValues(service).observe(nanos / 1e9);
     }
 
+    /** Records that a request was refused, or a connection closed, before it was received. */
+    public void onRefusedBeforeReceipt(IntakeReason reason) {
+        mNotReceived.labelValues(reason.label()).inc();
+    }
+
     /** Records that a request is retried. */
     public void onRetry(String service) {
         mRetries.labelValues(service).inc();
--- a/daemon/src/main/java/org/endivetray/daemon/request/CallerServer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/request/CallerServer.java
@@ -5,14 +5,9 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpConnection;
-import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import java.util.HashMap;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -26,34 +21,29 @@
 import org.endivetray.daemon.state.Snapshot;
 import org.endivetray.daemon.state.StateView;
 import org.endivetray.platform.Store;
+import org.endivetray.platform.intake.BodyReceiver;
+import org.endivetray.platform.intake.IntakeLog;
+import org.endivetray.platform.intake.IntakeObserver;
+import org.endivetray.platform.intake.PortConnections;
+import org.endivetray.policy.intake.IntakeBudget;
+import org.endivetray.policy.intake.IntakeReason;
 
 /**
  * Receives callers' requests over HTTP, validates them and submits them to the router.
  *
- * <p>A request is {@code METHOD /s/SERVICE/PATH} with the headers in docs/INTERFACES.md. A request
- * that fails validation is answered with its result code and never takes a slot.
+ * <p>A request that fails validation is answered with its result code and never takes a slot.
  *
- * <p>Invariants: a request that was received completely gets exactly one response.
+ * <p>Invariants: a request that was received completely gets exactly one response; the bytes that
+ * are held of all requests, and the open connections, stay within the limits.
  *
  * <p>This class is thread-safe; its connections are confined to the traffic event loop.
  */
 public final class CallerServer {
-    private static final String SERVICE_PATH_PREFIX = "/s/";
-    private static final String MEMBER_HEADER = "X-Endivetray-Member";
-    private static final String DEADLINE_HEADER = "X-Endivetray-Deadline-Millis";
-    private static final String PRIORITY_HEADER = "X-Endivetray-Priority";
-    private static final String KEY_HEADER = "Idempotency-Key";
-    private static final int MAX_KEY_CHARS = 200;
+    private static final int ACCEPT_BACKLOG = 1_024;
     private static final int MAX_HEADER_BYTES = 8 * 1024;
-    private static final Set<String> FORWARDED_HEADERS =
-            Set.of("accept", "content-type", "idempotency-key");
-    private static final Set<HttpMethod> REPEATABLE_METHODS =
-            Set.of(
-                    HttpMethod.GET,
-                    HttpMethod.HEAD,
-                    HttpMethod.OPTIONS,
-                    HttpMethod.PUT,
-                    HttpMethod.DELETE);
+
+    /** Time after which a refused request may be sent again, in seconds. */
+    private static final String RETRY_AFTER_SECONDS = "1";
 
     private final Vertx mVertx;
     private final Context mContext;
@@ -63,11 +53,13 @@
     private final RequestRouter mRouter;
     private final IdempotencyClaims mClaims;
     private final BooleanSupplier mReady;
+    private final IntakeObserver mObserver;
+    private final PortConnections mConnections;
+    private final IntakeBudget mBudget;
     private final HttpServer mServer;
     private final AtomicInteger mOpenRequests = new AtomicInteger();
     private final AtomicLong mNextId = new AtomicLong();
     private final String mIdPrefix;
-    private final Map<HttpConnection, AtomicInteger> mRequestCounts = new HashMap<>();
     private volatile boolean mRefusingNewRequests;
     private volatile boolean mKeepAliveDisabled;
 
@@ -103,10 +95,17 @@
         mClaims = new IdempotencyClaims(vertx, store, settings.number(SettingKey.CLAIM_HOURS));
         mReady = ready;
         mIdPrefix = settings.text(SettingKey.NAME) + "-" + Long.toString(incarnation, 36) + "-";
+        mObserver = new IntakeLog("callers", metrics::onRefusedBeforeReceipt);
+        mConnections =
+                new PortConnections(settings.number(SettingKey.CALLER_CONNECTIONS), mObserver)
+                        .withHeadTimeout(settings.number(SettingKey.HEADER_MILLIS));
+        mBudget = new IntakeBudget(settings.intakeBytes(settings.number(SettingKey.BODY_BYTES)));
         mServer =
-                vertx.createHttpServer(
+                mConnections.server(
+                        vertx,
                         new HttpServerOptions()
                                 .setTcpNoDelay(true)
+                                .setAcceptBacklog(ACCEPT_BACKLOG)
                                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                                 .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
                                 .setIdleTimeout(2 * settings.number(SettingKey.MAX_DEADLINE)));
@@ -119,7 +118,6 @@
                 ignored -> {
                     mServer.requestHandler(this::receive);
                     mServer.invalidRequestHandler(this::refuseInvalid);
-                    mServer.connectionHandler(this::enforceHeaderTimeout);
                     mServer.listen(
                                     mSettings.number(SettingKey.CALLERS_PORT),
                                     mSettings.text(SettingKey.CALLERS_HOST))
@@ -149,47 +147,18 @@
         return mServer.close();
     }
 
-    /** Closes the connection unless the first request head on it is complete in time. */
-    private void enforceHeaderTimeout(HttpConnection connection) {
-        AtomicInteger requestCount = new AtomicInteger();
-        mRequestCounts.put(connection, requestCount);
-        long timer =
-                mVertx.setTimer(
-                        mSettings.number(SettingKey.HEADER_MILLIS),
-                        ignored -> {
-                            if (requestCount.get() == 0) {
-                                connection.close();
-                            }
-                        });
-        connection.closeHandler(
-                ignored -> {
-                    mVertx.cancelTimer(timer);
-                    mRequestCounts.remove(connection);
-                });
-    }
-
     private void receive(HttpServerRequest http) {
-        AtomicInteger requestCount = mRequestCounts.get(http.connection());
-        if (requestCount != null) {
-            requestCount.incrementAndGet();
+        http.response().exceptionHandler(cause -> {});
+        if (mConnections.closeIfAnswersAreNotRead(http)) {
+            return;
         }
         if (http.path() != null && http.path().equals("/readyz")) {
-            http.response().setStatusCode(mReady.getAsBoolean() ? 200 : 503).end();
+            http.response().setStatusCode(mReady.getAsBoolean() ? 200 : 503);
+            mConnections.answer(http, "");
             return;
         }
         mMetrics.onOpenRequests(mOpenRequests.incrementAndGet());
-        CallerExchange exchange =
-                new CallerExchange(
-                        mContext,
-                        http,
-                        mKeepAliveDisabled,
-                        () -> mMetrics.onOpenRequests(mOpenRequests.decrementAndGet()));
-        RequestResult failure = checkHead(http);
-        if (failure != null) {
-            exchange.end(failure);
-            return;
-        }
-        readBody(http, exchange);
+        new Receipt(http).start();
     }
 
     private void refuseInvalid(HttpServerRequest http) {
@@ -197,216 +166,158 @@
                 .end(RequestResult.failed(ResultCode.MALFORMED_REQUEST, "malformed HTTP"));
     }
 
-    /** Returns the first failure found in the request head, or null if it is valid. */
-    private RequestResult checkHead(HttpServerRequest http) {
-        if (mRefusingNewRequests || !mReady.getAsBoolean() && !mKeepAliveDisabled) {
-            return RequestResult.failed(
-                    ResultCode.STOPPING,
-                    mRefusingNewRequests ? "daemon is stopping" : "daemon is not ready");
-        }
-        String path = http.path();
-        if (path == null || !path.startsWith(SERVICE_PATH_PREFIX) || serviceOf(path).isEmpty()) {
-            return RequestResult.failed(
-                    ResultCode.MALFORMED_REQUEST, "path must be /s/SERVICE/...");
-        }
-        if (mView.snapshot().service(serviceOf(path)).isEmpty()) {
-            return RequestResult.failed(ResultCode.UNKNOWN_SERVICE, serviceOf(path));
-        }
-        String member = http.getHeader(MEMBER_HEADER);
-        if (member == null || mView.snapshot().member(member).isEmpty()) {
-            return RequestResult.failed(ResultCode.UNKNOWN_MEMBER, String.valueOf(member));
-        }
-        String key = http.getHeader(KEY_HEADER);
-        if (key != null && (key.isEmpty() || key.length() > MAX_KEY_CHARS)) {
-            return RequestResult.failed(
-                    ResultCode.MALFORMED_REQUEST,
-                    "idempotency key has an invalid length of " + key.length());
-        }
-        if (contentLength(http) > mSettings.number(SettingKey.BODY_BYTES)) {
-            return RequestResult.failed(
-                    ResultCode.REQUEST_TOO_LARGE, "body exceeds the size limit");
-        }
-        return deadlineMillis(http, 1) < 0
-                ? RequestResult.failed(
-                        ResultCode.MALFORMED_REQUEST,
-                        "deadline must be a positive number of milliseconds")
-                : null;
-    }
+    /**
+     * A request that is being received or has no response yet.
+     *
+     * <p>Invariants: the room of its body is returned when the response has ended or its connection
+     * was closed.
+     */
+    private final class Receipt implements BodyReceiver.Handler {
+        private final long mReceivedNanos = System.nanoTime();
+        private final HttpServerRequest mRequest;
+        private final CallerHead mHead;
+        private final CallerExchange mExchange;
+        private final BodyReceiver mBody;
+        private Runnable mReturnRoom = () -> {};
+        private long mTimer;
 
-    private static long contentLength(HttpServerRequest http) {
-        String length = http.getHeader("content-length");
-        try {
-            return length == null ? 0 : Long.parseLong(length);
-        } catch (NumberFormatException e) {
-            return Long.MAX_VALUE;
+        private Receipt(HttpServerRequest request) {
+            mRequest = request;
+            mHead = new CallerHead(request, mSettings.number(SettingKey.MAX_DEADLINE));
+            mExchange =
+                    new CallerExchange(mContext, request, mKeepAliveDisabled, this::onResponseEnd);
+            mBody =
+                    new BodyReceiver(
+                            mVertx,
+                            request,
+                            mConnections,
+                            mBudget,
+                            mSettings.number(SettingKey.BODY_BYTES),
+                            this);
         }
-    }
-
-    private static String serviceOf(String path) {
-        int end = path.indexOf('/', SERVICE_PATH_PREFIX.length());
-        return end < 0
-                ? path.substring(SERVICE_PATH_PREFIX.length())
-                : path.substring(SERVICE_PATH_PREFIX.length(), end);
-    }
 
-    /** Returns the time to the deadline in milliseconds, or -1 if the header is not positive. */
-    private long deadlineMillis(HttpServerRequest http, int defaultMillis) {
-        String text = http.getHeader(DEADLINE_HEADER);
-        if (text == null) {
-            return defaultMillis;
-        }
-        try {
-            long millis = Long.parseLong(text);
-            boolean isPositive = millis > 0;
-            return isPositive ? Math.min(millis, mSettings.number(SettingKey.MAX_DEADLINE)) : -1;
-        } catch (NumberFormatException e) {
-            return -1;
+        private void start() {
+            RequestResult failure = failureOfHead();
+            if (failure != null) {
+                mBody.discard();
+                mExchange.end(failure);
+                return;
+            }
+            mTimer =
+                    mVertx.setTimer(
+                            mSettings.number(SettingKey.HEADER_MILLIS), ignored -> mBody.timeOut());
+            mBody.start();
         }
-    }
 
-    private void readBody(HttpServerRequest http, CallerExchange exchange) {
-        long received = System.nanoTime();
-        Buffer body = Buffer.buffer();
-        BodyState state = new BodyState();
-        long timer =
-                mVertx.setTimer(
-                        mSettings.number(SettingKey.HEADER_MILLIS),
-                        ignored -> state.fail(exchange, http, "body was not received in time"));
-        http.handler(
-                bytes -> {
-                    if (state.mEnded) {
-                        return;
-                    }
-                    body.appendBuffer(bytes);
-                    if (body.length() > mSettings.number(SettingKey.BODY_BYTES)) {
-                        state.mEnded = true;
-                        exchange.end(
-                                RequestResult.failed(
-                                        ResultCode.REQUEST_TOO_LARGE,
-                                        "body exceeds the size limit"));
-                    }
-                });
-        http.exceptionHandler(
-                cause ->
-                        state.fail(
-                                exchange, http, "connection failed while the body was received"));
-        http.endHandler(
-                ignored -> {
-                    mVertx.cancelTimer(timer);
-                    if (!state.mEnded) {
-                        state.mEnded = true;
-                        route(http, exchange, body, received);
-                    }
-                });
-    }
-
-    /** Tracks whether the receipt of a request body has ended, by completion or by rejection. */
-    private static final class BodyState {
-        private boolean mEnded;
-
-        void fail(CallerExchange exchange, HttpServerRequest http, String detail) {
-            if (!mEnded) {
-                mEnded = true;
-                exchange.end(RequestResult.failed(ResultCode.MALFORMED_REQUEST, detail));
+        private RequestResult failureOfHead() {
+            if (mRefusingNewRequests || !mReady.getAsBoolean() && !mKeepAliveDisabled) {
+                return RequestResult.failed(
+                        ResultCode.STOPPING,
+                        mRefusingNewRequests ? "daemon is stopping" : "daemon is not ready");
             }
+            return mHead.failure(mView.snapshot());
         }
-    }
 
-    private void route(
-            HttpServerRequest http, CallerExchange exchange, Buffer body, long receivedNanos) {
-        Snapshot snapshot = mView.snapshot();
-        String name = serviceOf(http.path());
-        ServiceDeclaration service = snapshot.service(name).orElse(null);
-        Member member = snapshot.member(http.getHeader(MEMBER_HEADER)).orElse(null);
-        if (service == null || member == null) {
-            exchange.end(RequestResult.failed(ResultCode.UNKNOWN_SERVICE, name));
-            return;
-        }
-        RoutedRequest.Call call =
-                new RoutedRequest.Call(http.method(), minionUri(http, name), headers(http), body);
-        long millis = deadlineMillis(http, service.deadlineMillis());
-        long deadlineNanos = receivedNanos + TimeUnit.MILLISECONDS.toNanos(millis);
-        ReceivedRequest received =
-                new ReceivedRequest(
-                        http, exchange, service, member, call, receivedNanos, deadlineNanos);
-        String key = http.getHeader(KEY_HEADER);
-        if (received.isRepeatable() || key == null) {
-            submit(received, exchange);
-            return;
+        @Override
+        public void onBody(byte[] body, Runnable answered) {
+            mVertx.cancelTimer(mTimer);
+            mReturnRoom = answered;
+            route(Buffer.buffer(body));
         }
-        mClaims.claim(IdempotencyClaims.keyOf(name, member.name(), key), deadlineNanos)
-                .onSuccess(claim -> submitClaimed(received, claim));
-    }
 
-    private void submitClaimed(ReceivedRequest received, IdempotencyClaims.Claim claim) {
-        if (claim.isHeld()) {
-            submit(received, new ClaimSettlingSink(mClaims, claim, received.exchange()));
-        } else {
-            received.exchange().end(claim.result());
+        @Override
+        public void onRefused(IntakeReason reason) {
+            mVertx.cancelTimer(mTimer);
+            mObserver.onRefused(reason);
+            mRequest.response().putHeader("Connection", "close");
+            if (reason == IntakeReason.BUSY) {
+                mRequest.response().putHeader("Retry-After", RETRY_AFTER_SECONDS);
+            }
+            mExchange.end(
+                    switch (reason) {
+                        case TOO_LARGE ->
+                                RequestResult.failed(
+                                        ResultCode.REQUEST_TOO_LARGE,
+                                        "body exceeds the size limit");
+                        case TIMED_OUT ->
+                                RequestResult.failed(
+                                        ResultCode.MALFORMED_REQUEST,
+                                        "body was not received in time");
+                        default ->
+                                RequestResult.failed(
+                                        ResultCode.INTAKE_FULL, "the request has not run");
+                    });
         }
-    }
 
-    private void submit(ReceivedRequest received, ResultSink sink) {
-        String id = mIdPrefix + Long.toString(mNextId.incrementAndGet(), Character.MAX_RADIX);
-        RoutedRequest request = received.toRequest(id, sink);
-        if (!mRouter.submit(request)) {
-            sink.end(RequestResult.failed(ResultCode.RING_FULL, "the ring of the router is full"));
-            return;
+        @Override
+        public void onClosed(boolean isEvicted) {
+            mVertx.cancelTimer(mTimer);
+            if (isEvicted) {
+                mObserver.onRefused(IntakeReason.TOO_SLOW);
+            }
         }
-        received.exchange().setCallerGoneAction(() -> mRouter.cancel(request));
-    }
 
-    /**
-     * A request that was received completely and passed all checks.
-     *
-     * <p>This class is immutable; its exchange is confined to the traffic event loop.
-     */
-    private record ReceivedRequest(
-            HttpServerRequest http,
-            CallerExchange exchange,
-            ServiceDeclaration service,
-            Member member,
-            RoutedRequest.Call call,
-            long receivedNanos,
-            long deadlineNanos) {
-        boolean isRepeatable() {
-            return REPEATABLE_METHODS.contains(call.method())
-                    || (call.method() == HttpMethod.POST && service.repeatablePost());
+        private void onResponseEnd() {
+            mMetrics.onOpenRequests(mOpenRequests.decrementAndGet());
+            mReturnRoom.run();
         }
 
-        private boolean isUrgent() {
-            String priority = http.getHeader(PRIORITY_HEADER);
-            return priority == null ? service.urgent() : priority.equals("urgent");
+        private void route(Buffer body) {
+            Snapshot snapshot = mView.snapshot();
+            String name = mHead.service();
+            ServiceDeclaration service = snapshot.service(name).orElse(null);
+            Member member = snapshot.member(mHead.member()).orElse(null);
+            if (service == null || member == null) {
+                mExchange.end(RequestResult.failed(ResultCode.UNKNOWN_SERVICE, name));
+                return;
+            }
+            long millis = mHead.deadlineMillis(service.deadlineMillis());
+            long deadlineNanos = mReceivedNanos + TimeUnit.MILLISECONDS.toNanos(millis);
+            String key = mHead.idempotencyKey();
+            if (mHead.isRepeatable(service) || key == null) {
+                submit(toRequest(service, member, body, deadlineNanos, mExchange));
+                return;
+            }
+            mClaims.claim(IdempotencyClaims.keyOf(name, member.name(), key), deadlineNanos)
+                    .onSuccess(
+                            claim -> {
+                                if (!claim.isHeld()) {
+                                    mExchange.end(claim.result());
+                                    return;
+                                }
+                                ResultSink sink = new ClaimSettlingSink(mClaims, claim, mExchange);
+                                submit(toRequest(service, member, body, deadlineNanos, sink));
+                            });
         }
 
-        RoutedRequest toRequest(String id, ResultSink sink) {
+        private RoutedRequest toRequest(
+                ServiceDeclaration service,
+                Member member,
+                Buffer body,
+                long deadlineNanos,
+                ResultSink sink) {
             return new RoutedRequest(
-                    id,
+                    mIdPrefix + Long.toString(mNextId.incrementAndGet(), Character.MAX_RADIX),
                     service.name(),
-                    call,
+                    new RoutedRequest.Call(
+                            mHead.method(), mHead.minionUri(), mHead.forwardedHeaders(), body),
                     member,
-                    isUrgent(),
-                    isRepeatable(),
-                    receivedNanos,
+                    mHead.isUrgent(service),
+                    mHead.isRepeatable(service),
+                    mReceivedNanos,
                     deadlineNanos,
                     sink);
         }
-    }
 
-    private static String minionUri(HttpServerRequest http, String service) {
-        String rest = http.uri().substring(SERVICE_PATH_PREFIX.length() + service.length());
-        return rest.startsWith("/") ? rest : "/" + rest;
-    }
-
-    private static Map<String, String> headers(HttpServerRequest http) {
-        Map<String, String> headers = new HashMap<>();
-        for (String name : FORWARDED_HEADERS) {
-            String value = http.getHeader(name);
-            if (value != null) {
-                headers.put(name, value);
+        private void submit(RoutedRequest request) {
+            if (!mRouter.submit(request)) {
+                request.sink()
+                        .end(
+                                RequestResult.failed(
+                                        ResultCode.RING_FULL, "the ring of the router is full"));
+                return;
             }
+            mExchange.setCallerGoneAction(() -> mRouter.cancel(request));
         }
-        headers.put(MEMBER_HEADER, http.getHeader(MEMBER_HEADER));
-        return headers;
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/settings/SettingKey.java
+++ b/daemon/src/main/java/org/endivetray/daemon/settings/SettingKey.java
@@ -64,6 +64,21 @@
             1_048_576,
             "bytes",
             "maximum size of a request body"),
+    INTAKE_BYTES(
+            "limits.intakeBytes",
+            0,
+            1_073_741_824,
+            0,
+            "bytes",
+            "room for the bodies of unanswered requests at each port, at least twice the largest"
+                    + " body; 0 for an eighth of the heap, at most 24 MiB"),
+    CALLER_CONNECTIONS(
+            "limits.callerConnections",
+            1,
+            100_000,
+            1_000,
+            "connections",
+            "maximum number of open connections of callers"),
     ANSWER_BYTES(
             "limits.answerBytes",
             1_024,
--- a/daemon/src/main/java/org/endivetray/daemon/settings/Settings.java
+++ b/daemon/src/main/java/org/endivetray/daemon/settings/Settings.java
@@ -13,6 +13,7 @@
 import org.endivetray.EndivetrayException;
 import org.endivetray.Json;
 import org.endivetray.ResultCode;
+import org.endivetray.policy.intake.IntakeLimits;
 
 /**
  * The validated settings of a daemon.
@@ -93,6 +94,19 @@
         return ((Number) mValues.get(key)).intValue();
     }
 
+    /**
+     * Returns the room of a port for the bodies of unanswered requests, in bytes.
+     *
+     * @param maxBodyBytes largest body that the port accepts, in bytes
+     */
+    public long intakeBytes(int maxBodyBytes) {
+        long heapBytes = Runtime.getRuntime().maxMemory();
+        long room = number(SettingKey.INTAKE_BYTES);
+        return room == 0
+                ? IntakeLimits.bodyBytes(heapBytes, maxBodyBytes)
+                : Math.max(room, 2L * maxBodyBytes);
+    }
+
     /** Returns a copy in which a key has the given value, which is not validated. */
     public Settings with(SettingKey key, Object value) {
         Map<SettingKey, Object> values = new EnumMap<>(mValues);
--- a/model/src/main/java/org/endivetray/ResultCode.java
+++ b/model/src/main/java/org/endivetray/ResultCode.java
@@ -115,6 +115,13 @@
             3,
             "The service has no minion that accepts new work.",
             "Check the drains and outages of the pool."),
+    INTAKE_FULL(
+            1015,
+            Outcome.NOT_RUN,
+            503,
+            3,
+            "The bodies that are being received leave no room for the request's body.",
+            "Retry after the time that the response gives."),
     ANSWER_LOST(
             1101,
             Outcome.UNKNOWN,
--- a/policy/src/main/java/org/endivetray/policy/intake/IntakeLimits.java
+++ b/policy/src/main/java/org/endivetray/policy/intake/IntakeLimits.java
@@ -37,15 +37,26 @@
     private static final int DEFAULT_CONNECTIONS = 1_000;
     private static final int DEFAULT_INNER_CONNECTIONS = 300;
 
+    /**
+     * Returns the room for bodies that is used where the settings have none, which holds at least
+     * one body of the largest size beside the share of small ones.
+     *
+     * @param heapBytes the largest heap of the process, in bytes
+     * @param maxBodyBytes the largest body, in bytes
+     */
+    public static long bodyBytes(long heapBytes, int maxBodyBytes) {
+        long share = Math.min(DEFAULT_BODY_BYTES, heapBytes / DEFAULT_HEAP_SHARE_DIVISOR);
+        return Math.max(2L * maxBodyBytes, share);
+    }
+
     /**
      * Returns the limits that are used where the settings have none.
      *
      * @param heapBytes the largest heap of the process, in bytes
      */
     public static IntakeLimits ofHeap(long heapBytes) {
-        long share = Math.max(MIN_BODY_BYTES, heapBytes / DEFAULT_HEAP_SHARE_DIVISOR);
         return new IntakeLimits(
-                Math.min(DEFAULT_BODY_BYTES, share),
+                bodyBytes(heapBytes, MAX_BODY_BYTES),
                 DEFAULT_CONNECTIONS,
                 DEFAULT_INNER_CONNECTIONS);
     }
--- a/proof/src/test/java/org/endivetray/proof/soak/CrowdedPortsTest.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/CrowdedPortsTest.java
@@ -46,7 +46,7 @@
                     + MAX_OTHER_CONNECTIONS
                     + ",";
 
-    private static final String REQUEST_LIMITS = "";
+    private static final String REQUEST_LIMITS = "\"callerConnections\": " + MAX_CONNECTIONS;
 
     private static final Set<CrowdLoad> FRAMES =
             EnumSet.of(
