--- a/daemon/src/main/java/org/endivetray/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/Daemon.java
@@ -172,6 +172,8 @@
 
     private void limitConnections(Ports ports) {
         mAcceptLimits.setLimit(ports.callers(), mSettings.number(SettingKey.CALLER_CONNECTIONS));
+        mAcceptLimits.setLimit(
+                ports.operators(), mSettings.number(SettingKey.OPERATOR_CONNECTIONS));
     }
 
     private Vertx newVertx() {
--- a/daemon/src/main/java/org/endivetray/daemon/http/OperatorServer.java
+++ b/daemon/src/main/java/org/endivetray/daemon/http/OperatorServer.java
@@ -7,9 +7,9 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
-import io.vertx.ext.web.handler.BodyHandler;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -32,18 +32,35 @@
 import org.endivetray.daemon.state.StateKeys;
 import org.endivetray.daemon.state.StateSync;
 import org.endivetray.daemon.state.StateView;
+import org.endivetray.platform.intake.BodyReceiver;
+import org.endivetray.platform.intake.IntakeLog;
+import org.endivetray.platform.intake.IntakeObserver;
+import org.endivetray.platform.intake.PortConnections;
+import org.endivetray.policy.intake.IntakeBudget;
+import org.endivetray.policy.intake.IntakeLimits;
+import org.endivetray.policy.intake.IntakeReason;
 
 /**
  * Serves operators' commands, health checks and metrics over HTTP.
  *
- * <p>Invariants: the response to a failed command has a JSON body with a numbered result code.
+ * <p>Invariants: the response to a failed command has a JSON body with a numbered result code; the
+ * bytes that are held of all commands, and the open connections, stay within the limits.
  *
  * <p>This class is thread-safe.
  */
 public final class OperatorServer {
     private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+    private static final String BODY = "body";
+
+    /** Time after which a refused command may be sent again, in seconds. */
+    private static final String RETRY_AFTER_SECONDS = "1";
+
     private static final String OPERATOR_HEADER = "X-Endivetray-Operator";
 
+    private final Vertx mVertx;
+    private final IntakeObserver mObserver;
+    private final PortConnections mConnections;
+    private final IntakeBudget mBudget;
     private final HttpServer mServer;
     private final Settings mSettings;
     private final StateView mView;
@@ -75,7 +92,15 @@
             Membership membership,
             Metrics metrics,
             BooleanSupplier isReady) {
-        mServer = vertx.createHttpServer();
+        mVertx = vertx;
+        mObserver = new IntakeLog("operators", metrics::onRefusedBeforeReceipt);
+        mConnections =
+                new PortConnections(settings.number(SettingKey.OPERATOR_CONNECTIONS), mObserver);
+        mBudget = new IntakeBudget(settings.intakeBytes(MAX_BODY_BYTES));
+        mServer =
+                mConnections.server(
+                        vertx,
+                        new HttpServerOptions().setAcceptBacklog(IntakeLimits.INNER_BACKLOG));
         mSettings = settings;
         mView = view;
         mStateSync = sync;
@@ -102,10 +127,11 @@
     }
 
     private void addRoutes() {
-        mRouter.get("/healthz").handler(context -> context.response().end("ok\n"));
+        mRouter.route().handler(this::closeIfAnswersAreNotRead);
+        mRouter.get("/healthz").handler(context -> answer(context, 200, "ok\n"));
         mRouter.get("/readyz").handler(this::readyz);
         mRouter.get("/metrics").handler(this::metrics);
-        mRouter.route().handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES));
+        mRouter.route().handler(context -> new CommandReceipt(context).start());
         mRouter.get("/v1/pools").handler(context -> respond(context, this::pools));
         mRouter.get("/v1/pools/:name")
                 .handler(context -> respond(context, () -> pool(context.pathParam("name"))));
@@ -129,20 +155,79 @@
 
     private void readyz(RoutingContext context) {
         boolean ready = mIsReady.getAsBoolean();
-        context.response().setStatusCode(ready ? 200 : 503).end(ready ? "ready\n" : "not ready\n");
+        answer(context, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
     }
 
     private void metrics(RoutingContext context) {
-        context.response()
-                .putHeader("content-type", "text/plain; version=0.0.4")
-                .end(mMetrics.text());
+        context.response().putHeader("content-type", "text/plain; version=0.0.4");
+        answer(context, 200, mMetrics.text());
+    }
+
+    /** Answers a request whose body is not read. */
+    private void answer(RoutingContext context, int status, String body) {
+        context.response().setStatusCode(status);
+        mConnections.answer(context.request(), body);
+    }
+
+    private void closeIfAnswersAreNotRead(RoutingContext context) {
+        if (!mConnections.closeIfAnswersAreNotRead(context.request())) {
+            context.next();
+        }
+    }
+
+    /**
+     * A command that is being received or has no response yet.
+     *
+     * <p>Invariants: the room of its body is returned when the response has ended or its connection
+     * was closed.
+     */
+    private final class CommandReceipt implements BodyReceiver.Handler {
+        private final RoutingContext mCommand;
+
+        private CommandReceipt(RoutingContext command) {
+            mCommand = command;
+        }
+
+        private void start() {
+            new BodyReceiver(
+                            mVertx, mCommand.request(), mConnections, mBudget, MAX_BODY_BYTES, this)
+                    .start();
+        }
+
+        @Override
+        public void onBody(byte[] body, Runnable answered) {
+            mCommand.addEndHandler(ignored -> answered.run());
+            mCommand.put(BODY, body);
+            mCommand.next();
+        }
+
+        @Override
+        public void onRefused(IntakeReason reason) {
+            mObserver.onRefused(reason);
+            mCommand.response().putHeader("Connection", "close");
+            if (reason == IntakeReason.BUSY) {
+                mCommand.response().putHeader("Retry-After", RETRY_AFTER_SECONDS);
+            }
+            ResultCode code =
+                    reason == IntakeReason.TOO_LARGE
+                            ? ResultCode.REQUEST_TOO_LARGE
+                            : ResultCode.INTAKE_FULL;
+            respondWithError(mCommand, new EndivetrayException(code, code.meaning()));
+        }
+
+        @Override
+        public void onClosed(boolean isEvicted) {
+            if (isEvicted) {
+                mObserver.onRefused(IntakeReason.TOO_SLOW);
+            }
+        }
     }
 
     private void propose(RoutingContext context) {
         Intent intent;
         try {
-            intent = Json.mapper().readValue(context.body().buffer().getBytes(), Intent.class);
-        } catch (IOException | NullPointerException e) {
+            intent = Json.mapper().readValue(context.<byte[]>get(BODY), Intent.class);
+        } catch (IOException e) {
             respondWithError(
                     context,
                     new EndivetrayException(
--- a/daemon/src/main/java/org/endivetray/daemon/settings/SettingKey.java
+++ b/daemon/src/main/java/org/endivetray/daemon/settings/SettingKey.java
@@ -79,6 +79,13 @@
             1_000,
             "connections",
             "maximum number of open connections of callers"),
+    OPERATOR_CONNECTIONS(
+            "limits.operatorConnections",
+            1,
+            100_000,
+            100,
+            "connections",
+            "maximum number of open connections of operators"),
     ANSWER_BYTES(
             "limits.answerBytes",
             1_024,
--- a/proof/src/test/java/org/endivetray/proof/soak/CrowdedPortsTest.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/CrowdedPortsTest.java
@@ -46,7 +46,11 @@
                     + MAX_OTHER_CONNECTIONS
                     + ",";
 
-    private static final String REQUEST_LIMITS = "\"callerConnections\": " + MAX_CONNECTIONS;
+    private static final String REQUEST_LIMITS =
+            "\"callerConnections\": "
+                    + MAX_CONNECTIONS
+                    + ", \"operatorConnections\": "
+                    + MAX_OTHER_CONNECTIONS;
 
     private static final Set<CrowdLoad> FRAMES =
             EnumSet.of(
