Bound the connections of the earlier daemon to its inner port

What callers saw: connections to the inner port use the descriptors of the process. Cause: the limit of 300 could not be set, and the acceptor was ahead of it as in the other daemon. Change: limits.innerConnections, and the limit of the acceptor.

--- a/daemon/src/main/java/org/endivetray/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/Daemon.java
@@ -174,6 +174,7 @@
         mAcceptLimits.setLimit(ports.callers(), mSettings.number(SettingKey.CALLER_CONNECTIONS));
         mAcceptLimits.setLimit(
                 ports.operators(), mSettings.number(SettingKey.OPERATOR_CONNECTIONS));
+        mAcceptLimits.setLimit(ports.inner(), mSettings.number(SettingKey.INNER_CONNECTIONS));
     }
 
     private Vertx newVertx() {
--- a/daemon/src/main/java/org/endivetray/daemon/membership/Membership.java
+++ b/daemon/src/main/java/org/endivetray/daemon/membership/Membership.java
@@ -96,7 +96,9 @@
                         mName,
                         incarnation,
                         this::onMessage,
-                        IntakeLimits.ofHeap(Runtime.getRuntime().maxMemory()));
+                        IntakeLimits.ofHeap(Runtime.getRuntime().maxMemory())
+                                .withInnerConnections(
+                                        settings.number(SettingKey.INNER_CONNECTIONS)));
         mDuty = new Duty("membership", RING_ENTRIES, TICK_MILLIS, this::tick);
         mHeartbeatNanos = TimeUnit.MILLISECONDS.toNanos(settings.number(SettingKey.HEARTBEAT));
         mSuspectNanos = MISSED_HEARTBEATS * mHeartbeatNanos;
--- a/daemon/src/main/java/org/endivetray/daemon/settings/SettingKey.java
+++ b/daemon/src/main/java/org/endivetray/daemon/settings/SettingKey.java
@@ -86,6 +86,13 @@
             100,
             "connections",
             "maximum number of open connections of operators"),
+    INNER_CONNECTIONS(
+            "limits.innerConnections",
+            1,
+            100_000,
+            300,
+            "connections",
+            "maximum number of open connections of other daemons"),
     ANSWER_BYTES(
             "limits.answerBytes",
             1_024,
--- a/policy/src/main/java/org/endivetray/policy/intake/IntakeLimits.java
+++ b/policy/src/main/java/org/endivetray/policy/intake/IntakeLimits.java
@@ -60,4 +60,9 @@
                 DEFAULT_CONNECTIONS,
                 DEFAULT_INNER_CONNECTIONS);
     }
+
+    /** Returns a copy with another limit of the connections of each other port. */
+    public IntakeLimits withInnerConnections(int connections) {
+        return new IntakeLimits(bodyBytes, this.connections, connections);
+    }
 }
--- a/proof/src/test/java/org/endivetray/proof/soak/CrowdedPortsTest.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/CrowdedPortsTest.java
@@ -50,6 +50,8 @@
             "\"callerConnections\": "
                     + MAX_CONNECTIONS
                     + ", \"operatorConnections\": "
+                    + MAX_OTHER_CONNECTIONS
+                    + ", \"innerConnections\": "
                     + MAX_OTHER_CONNECTIONS;
 
     private static final Set<CrowdLoad> FRAMES =
