Choose the ports of a crowded daemon together

Cause: a test of the crowds found `Address already in use` once in about 300 starts: four ports were chosen one after the other, and before the store and the worker service of the test had theirs. Change: all four are held while they are chosen, after those servers listen.

--- a/proof/src/test/java/org/endivetray/proof/soak/CrowdSite.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/CrowdSite.java
@@ -32,10 +32,10 @@
     private final Path mFolder = Files.createTempDirectory("crowd");
     private final StoreEntrance mEntrance;
     private final LoopbackServer mWorkers;
-    private final int mFrontPort = freePort();
-    private final int mReadyPort = freePort();
-    private final int mInnerPort = freePort();
-    private final int mMetricsPort = freePort();
+    private final int mFrontPort;
+    private final int mReadyPort;
+    private final int mInnerPort;
+    private final int mMetricsPort;
     private final CrowdedProcess mProcess;
     private long mNextJob = 0x1000;
 
@@ -52,16 +52,30 @@
                 LoopbackServer.start(
                         0, request -> new LoopbackServer.Reply(404, LoopbackServer.object()));
         store.put("op/config", manifest());
+        List<Integer> ports = freePorts(4);
+        mFrontPort = ports.get(0);
+        mReadyPort = ports.get(1);
+        mInnerPort = ports.get(2);
+        mMetricsPort = ports.get(3);
         Path settings = Files.writeString(mFolder.resolve("settings.json"), settings(limits));
         mProcess = start(settings, descriptors);
         awaitFirstJob();
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket =
-                new ServerSocket(0, 1, InetAddress.getByName(LoopbackServer.ADDRESS))) {
-            return socket.getLocalPort();
+    /** Returns different ports that no server of this process uses. */
+    private static List<Integer> freePorts(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            ServerSocket socket =
+                    new ServerSocket(0, 1, InetAddress.getByName(LoopbackServer.ADDRESS));
+            sockets.add(socket);
+            ports.add(socket.getLocalPort());
         }
+        for (ServerSocket socket : sockets) {
+            socket.close();
+        }
+        return ports;
     }
 
     private static ObjectNode manifest() {
