Apply the limit of a port that is set before it is bound

Cause: the server tells its port before the channel tells the gate that it is active, so the limit could come before its gate was known, and was dropped. Change: limits are kept by port; whichever of the two comes last applies the limit. The order of the two is not forced by the test; the cause is by reading.

--- a/daemon/src/main/java/org/endivetray/daemon/intake/AcceptLimits.java
+++ b/daemon/src/main/java/org/endivetray/daemon/intake/AcceptLimits.java
@@ -32,6 +32,9 @@
 
     private static final int INITIAL_LIMIT = 16;
 
+    /** Limits and gates by port; a limit may be set before its gate learns that it is bound. */
+    private final Map<Integer, Integer> mLimits = new ConcurrentHashMap<>();
+
     private final Map<Integer, AcceptGate> mGates = new ConcurrentHashMap<>();
 
     /**
@@ -50,9 +53,20 @@
      * @param connections most connections that the server itself keeps
      */
     public void setLimit(int port, int connections) {
+        mLimits.put(port, connections + REPLACEMENTS);
+        applyLimit(port);
+    }
+
+    private void onBound(int port, AcceptGate gate) {
+        mGates.put(port, gate);
+        applyLimit(port);
+    }
+
+    private void applyLimit(int port) {
         AcceptGate gate = mGates.get(port);
-        if (gate != null) {
-            gate.setLimit(connections + REPLACEMENTS);
+        Integer limit = mLimits.get(port);
+        if (gate != null && limit != null) {
+            gate.setLimit(limit);
         }
     }
 
@@ -63,7 +77,7 @@
         channel.config().setReceiveBufferSize(IntakeLimits.SOCKET_BUFFER_BYTES);
         AcceptGate gate = new AcceptGate(channel, INITIAL_LIMIT);
         channel.pipeline().addLast("accept gate", gate);
-        gate.whenBound(port -> mGates.put(port, gate));
+        gate.whenBound(port -> onBound(port, gate));
         return channel;
     }
 
