Count a closed connection until its descriptor is closed

Cause: the timer that waits for the next select of the event loop may fire in the turn in which it is set, if that turn is longer than the timer. Change: a timer that is set by a timer, which fires after a select in all cases.

--- a/daemon/src/main/java/org/endivetray/daemon/intake/AcceptGate.java
+++ b/daemon/src/main/java/org/endivetray/daemon/intake/AcceptGate.java
@@ -16,7 +16,7 @@
  * <p>This class is thread-safe; its state is confined to the event loop of the server channel.
  */
 final class AcceptGate extends ChannelInboundHandlerAdapter {
-    private static final long DESCRIPTOR_MILLIS = 1;
+    private static final long TURN_MILLIS = 1;
 
     private final ServerChannel mServer;
     private IntConsumer mOnBound = port -> {};
@@ -67,14 +67,17 @@
     }
 
     /**
-     * Handles a closed connection. Its descriptor is closed by the next select of its event loop,
-     * which comes before a timer that is set now.
+     * Handles a closed connection. Its descriptor is closed by the next select of its event loop. A
+     * timer may still fire in the turn in which it is set; one that is set by a timer fires after
+     * the next select.
      */
     private void onClosed(Channel connection) {
+        schedule(connection, () -> schedule(connection, this::onDescriptorClosed));
+    }
+
+    private static void schedule(Channel connection, Runnable task) {
         if (!connection.eventLoop().isShuttingDown()) {
-            connection
-                    .eventLoop()
-                    .schedule(this::onDescriptorClosed, DESCRIPTOR_MILLIS, TimeUnit.MILLISECONDS);
+            connection.eventLoop().schedule(task, TURN_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
