Close connections that must give way at once

What callers saw: the earlier daemon gives no answer to operators for a minute and more under clients of its inner port that read no replies: its control thread sleeps in java.nio.Bits.reserveMemory (stack taken in a trial), out of direct memory. Cause: the library's close first waits until all that was written has been read. A connection that was closed for not reading kept its replies and its descriptor. Change: connections that give way, that do not read, or that are refused and do not end in time are closed at once; one that was refused is still closed after its answer. Closing that one at once too lost the answer (trial: the client of aDaemonLivesThroughManySmallBodiesWithoutAnEnd got none), so it does not.

--- a/wire/src/main/java/org/endivetray/wire/PeerServer.java
+++ b/wire/src/main/java/org/endivetray/wire/PeerServer.java
@@ -120,7 +120,7 @@
         socket.exceptionHandler(cause -> socket.close());
         NetSocket chosen = mConnections.add(socket);
         if (chosen == socket) {
-            socket.close();
+            closeNow(socket);
             return;
         }
         closeUnlessUsed(chosen);
@@ -143,7 +143,7 @@
                 .execute(
                         () -> {
                             if (mConnections.giveWay(chosen)) {
-                                chosen.close();
+                                closeNow(chosen);
                             } else {
                                 closeUnlessUsed(mConnections.chooseAboveLimit());
                             }
@@ -153,7 +153,7 @@
     private void onMessage(NetSocket socket, Envelope message) {
         mConnections.enter(socket, ConnectionTable.Phase.IN_USE);
         if (socket.writeQueueFull()) {
-            socket.close();
+            closeNow(socket);
             return;
         }
         reply(socket, message);
@@ -165,6 +165,14 @@
                 .onSuccess(body -> send(socket, reply(message, body)));
     }
 
+    /**
+     * Closes a connection at once. The socket's own method would first wait until the peer has read
+     * what was written to it, which may never happen.
+     */
+    private static void closeNow(NetSocket socket) {
+        ((NetSocketInternal) socket).channelHandlerContext().close();
+    }
+
     private Buffer reply(Envelope message, Body body) {
         return EnvelopeCodec.encode(
                 new Envelope(message.getId(), true, mLocalName, mLocalIncarnation, body));
@@ -174,7 +182,7 @@
         int bytes = frame.length();
         NetSocket unread = mReplies.add(socket, bytes);
         if (unread != null) {
-            unread.close();
+            closeNow(unread);
         }
         if (unread != socket) {
             socket.write(frame).onComplete(ignored -> mReplies.remove(socket, bytes));
