Let idle connections of known peers give way to new ones

What callers saw: nothing yet; a daemon could be cut off from its peers: 300 clients that send one whole message each fill the inner port, and none of them gave way for 600 s. Cause: a connection that had sent a whole message counted as a peer's for good. Change: at the limit those without a whole message give way first, then the one whose last message was answered longest ago. Its peer opens another with its next message. What a connection has sent is not handled any more once it is closed.

--- a/policy/src/main/java/org/endivetray/policy/intake/ConnectionTable.java
+++ b/policy/src/main/java/org/endivetray/policy/intake/ConnectionTable.java
@@ -36,7 +36,9 @@
         IDLE(true),
         /** The body of a request is arriving, so that it has not run. */
         RECEIVING(true),
-        /** A request was received and is not answered, or the peer is known. */
+        /** It has sent whole messages of the inner protocol, all of which were answered. */
+        KNOWN(true),
+        /** A request was received and is not answered. */
         IN_USE(false);
 
         private final boolean mMayGiveWay;
@@ -158,11 +160,21 @@
      * Records that a use has ended and left the connection idle; has no effect if the connection
      * has been used for something else since.
      */
-    public synchronized void leave(C connection, long use) {
+    public void leave(C connection, long use) {
+        leave(connection, use, Phase.IDLE);
+    }
+
+    /**
+     * Records that a use has ended; has no effect if the connection has been used for something
+     * else since.
+     *
+     * @param phase what the connection is used for now
+     */
+    public synchronized void leave(C connection, long use, Phase phase) {
         Entry<C> entry = mEntries.get(connection);
         if (entry != null && entry.mUse == use && !entry.mIsGivingWay) {
             mByPhase.get(entry.mPhase).remove(entry);
-            enter(entry, Phase.IDLE);
+            enter(entry, phase);
         }
     }
 
--- a/policy/src/test/java/org/endivetray/policy/intake/ConnectionTableTest.java
+++ b/policy/src/test/java/org/endivetray/policy/intake/ConnectionTableTest.java
@@ -66,6 +66,21 @@
         assertThat(mTable.add("d")).isEqualTo("a");
     }
 
+    @Test
+    void theKnownConnectionWithoutAMessageForLongestIsClosedIfAllAreKnown() {
+        open(Phase.KNOWN, Phase.KNOWN, Phase.KNOWN);
+        mTable.leave("a", mTable.enter("a", Phase.IN_USE), Phase.KNOWN);
+        assertThat(mTable.add("d")).isEqualTo("b");
+        mTable.enter("d", Phase.KNOWN);
+        assertThat(mTable.add("e")).isEqualTo("c");
+    }
+
+    @Test
+    void aConnectionWithoutAMessageIsClosedBeforeAKnownOne() {
+        open(Phase.KNOWN, Phase.KNOWN, Phase.IDLE);
+        assertThat(mTable.add("d")).isEqualTo("c");
+    }
+
     @Test
     void aClosedConnectionMakesRoom() {
         open(Phase.IN_USE, Phase.IN_USE, Phase.IN_USE);
--- a/proof/src/test/java/org/endivetray/proof/soak/CrowdSite.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/CrowdSite.java
@@ -159,7 +159,8 @@
         byte[] job = submission(256);
         return OrdinaryClient.sendWithRetries(address(CrowdPort.FRONT), job) == 200
                 && status(CrowdPort.READY, "/api/ready") == 200
-                && status(CrowdPort.METRICS, "/metrics") == 200;
+                && status(CrowdPort.METRICS, "/metrics") == 200
+                && OrdinaryClient.servesPeer(address(CrowdPort.INNER));
     }
 
     private int status(CrowdPort port, String path) throws InterruptedException {
--- a/proof/src/test/java/org/endivetray/proof/soak/OrdinaryClient.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/OrdinaryClient.java
@@ -6,6 +6,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
+import org.endivetray.wire.EnvelopeCodec;
+import org.endivetray.wire.gen.Body;
+import org.endivetray.wire.gen.ConfigPull;
+import org.endivetray.wire.gen.Envelope;
 
 /**
  * A client inside the limits, which sends a request and reads its answer.
@@ -78,6 +82,26 @@
         }
     }
 
+    /** Returns whether a peer that sends a message on a new connection gets a reply. */
+    static boolean servesPeer(InetSocketAddress address) throws InterruptedException {
+        Body body = Body.configPull(new ConfigPull(0));
+        Envelope message = new Envelope(1, false, "peer", 1, body);
+        for (int i = 0; i <= MAX_RETRIES; i++) {
+            try (Socket socket = new Socket()) {
+                socket.setSoTimeout(TIMEOUT_MILLIS);
+                socket.connect(address, TIMEOUT_MILLIS);
+                socket.getOutputStream().write(EnvelopeCodec.encode(message).getBytes());
+                if (socket.getInputStream().read() >= 0) {
+                    return true;
+                }
+            } catch (IOException e) {
+                // Sent again below, as peers do.
+            }
+            Thread.sleep(RETRY_MILLIS);
+        }
+        return false;
+    }
+
     /** Returns a request without a body. */
     static byte[] get(String path, String header) {
         return ("GET " + path + " HTTP/1.1\r\nHost: yard.example\r\n" + header + "\r\n")
--- a/proof/src/test/java/org/endivetray/proof/soak/RequestSite.java
+++ b/proof/src/test/java/org/endivetray/proof/soak/RequestSite.java
@@ -167,7 +167,9 @@
 
     @Override
     public boolean servesOrdinaryClients() throws InterruptedException {
-        return servesCaller() && status(CrowdPort.OPERATORS, "/v1/status", "") == 200;
+        return servesCaller()
+                && status(CrowdPort.OPERATORS, "/v1/status", "") == 200
+                && OrdinaryClient.servesPeer(address(CrowdPort.REQUEST_INNER));
     }
 
     @Override
--- a/wire/src/main/java/org/endivetray/wire/PeerServer.java
+++ b/wire/src/main/java/org/endivetray/wire/PeerServer.java
@@ -18,8 +18,9 @@
 /**
  * Accepts connections from other daemons and replies to the messages on them.
  *
- * <p>A connection that has sent a whole message is a peer's; others give way to new ones at the
- * limit of connections. A peer's is closed when nothing has been received on it for long.
+ * <p>At the limit of connections those that have sent no whole message give way to new ones first,
+ * then the one whose last message was answered longest ago; its peer opens another with its next
+ * message. A peer's is also closed when nothing has been received on it for long.
  *
  * <p>Invariants: each message receives at most one reply, which carries the id of the message; the
  * bytes of incomplete frames and of unread replies, and the open connections, stay within the
@@ -100,24 +101,7 @@
     }
 
     private void onConnection(NetSocket socket) {
-        FrameReader reader =
-                new FrameReader(message -> onMessage(socket, message), mBudget, socket::close);
-        socket.setWriteQueueMaxSize(MAX_UNREAD_BYTES);
-        socket.closeHandler(
-                ignored -> {
-                    reader.close();
-                    mReplies.removeAll(socket);
-                    mConnections.remove(socket);
-                });
-        socket.handler(
-                bytes -> {
-                    try {
-                        reader.onBytes(bytes);
-                    } catch (RuntimeException e) {
-                        socket.close();
-                    }
-                });
-        socket.exceptionHandler(cause -> socket.close());
+        new Connection(socket).open();
         NetSocket chosen = mConnections.add(socket);
         if (chosen == socket) {
             closeNow(socket);
@@ -129,7 +113,7 @@
 
     /**
      * Closes a connection on its event loop, which also receives its messages, or another one if it
-     * has sent a whole message before.
+     * has sent a whole message since.
      *
      * @param chosen the connection, null for none
      */
@@ -150,21 +134,6 @@
                         });
     }
 
-    private void onMessage(NetSocket socket, Envelope message) {
-        mConnections.enter(socket, ConnectionTable.Phase.IN_USE);
-        if (socket.writeQueueFull()) {
-            closeNow(socket);
-            return;
-        }
-        reply(socket, message);
-    }
-
-    private void reply(NetSocket socket, Envelope message) {
-        mHandler.handle(message.getSender(), message.getIncarnation(), message.getBody())
-                .otherwise(cause -> Body.failure(String.valueOf(cause.getMessage())))
-                .onSuccess(body -> send(socket, reply(message, body)));
-    }
-
     /**
      * Closes a connection at once. The socket's own method would first wait until the peer has read
      * what was written to it, which may never happen.
@@ -173,6 +142,67 @@
         ((NetSocketInternal) socket).channelHandlerContext().close();
     }
 
+    /**
+     * A connection of a peer.
+     *
+     * <p>This class is confined to the event loop of its connection.
+     */
+    private final class Connection {
+        private final NetSocket mSocket;
+        private final FrameReader mReader;
+        private boolean mIsClosed;
+
+        private Connection(NetSocket socket) {
+            mSocket = socket;
+            mReader = new FrameReader(this::onMessage, mBudget, this::close);
+        }
+
+        private void open() {
+            mSocket.setWriteQueueMaxSize(MAX_UNREAD_BYTES);
+            mSocket.closeHandler(ignored -> onClosed());
+            mSocket.exceptionHandler(cause -> close());
+            mSocket.handler(this::onBytes);
+        }
+
+        private void onBytes(Buffer bytes) {
+            if (mIsClosed) {
+                return;
+            }
+            try {
+                mReader.onBytes(bytes);
+            } catch (RuntimeException e) {
+                close();
+            }
+        }
+
+        private void onMessage(Envelope message) {
+            if (mIsClosed || mSocket.writeQueueFull()) {
+                close();
+                return;
+            }
+            long use = mConnections.enter(mSocket, ConnectionTable.Phase.IN_USE);
+            mHandler.handle(message.getSender(), message.getIncarnation(), message.getBody())
+                    .otherwise(cause -> Body.failure(String.valueOf(cause.getMessage())))
+                    .onSuccess(
+                            body -> {
+                                send(mSocket, reply(message, body));
+                                mConnections.leave(mSocket, use, ConnectionTable.Phase.KNOWN);
+                            });
+        }
+
+        private void close() {
+            mIsClosed = true;
+            closeNow(mSocket);
+        }
+
+        private void onClosed() {
+            mIsClosed = true;
+            mReader.close();
+            mReplies.removeAll(mSocket);
+            mConnections.remove(mSocket);
+        }
+    }
+
     private Buffer reply(Envelope message, Body body) {
         return EnvelopeCodec.encode(
                 new Envelope(message.getId(), true, mLocalName, mLocalIncarnation, body));
