Handle the messages of a peer in turns

Cause: all messages of a read were handled at once, 2,000 of 24 bytes from each of 400 clients, each with a reply of the whole configuration. Change: at most 64 messages of a connection in a turn; then others have theirs. Connections with more at once are paced together as those with small chunks are (ReadPacing), a single one only by the turn.

--- a/wire/src/main/java/org/endivetray/wire/FrameReader.java
+++ b/wire/src/main/java/org/endivetray/wire/FrameReader.java
@@ -52,14 +52,32 @@
      * Buffers received bytes and passes on each message that is complete.
      *
      * @param bytes the bytes, in the order in which they were received, not null
+     * @throws EndivetrayException as {@link #readMessages}
+     */
+    void onBytes(Buffer bytes) {
+        append(bytes);
+        readMessages(Integer.MAX_VALUE);
+    }
+
+    /** Buffers received bytes, in the order in which they were received. */
+    void append(Buffer bytes) {
+        mPending.appendBuffer(bytes);
+    }
+
+    /**
+     * Passes on buffered messages that are complete.
+     *
+     * @param maxMessages most messages that are passed on
+     * @return number of messages that were passed on; if it is the maximum, more may be complete
      * @throws EndivetrayException with {@link ResultCode#INTERNAL} if a frame is longer than {@link
      *     EnvelopeCodec#MAX_FRAME_BYTES} or cannot be decoded, or with {@link ResultCode#RING_FULL}
      *     if there is no room for it; the connection must then be closed
      */
-    void onBytes(Buffer bytes) {
-        mPending.appendBuffer(bytes);
+    int readMessages(int maxMessages) {
+        int messages = 0;
         int offset = 0;
-        while (mPending.length() - offset >= EnvelopeCodec.LENGTH_PREFIX_BYTES) {
+        while (messages < maxMessages
+                && mPending.length() - offset >= EnvelopeCodec.LENGTH_PREFIX_BYTES) {
             int length = mPending.getInt(offset);
             if (length < 0 || length > EnvelopeCodec.MAX_FRAME_BYTES) {
                 throw new EndivetrayException(
@@ -75,11 +93,13 @@
             }
             close();
             offset = start + length;
+            messages++;
             mOnMessage.accept(EnvelopeCodec.decode(mPending.getBytes(start, offset)));
         }
         if (offset > 0) {
             mPending = mPending.getBuffer(offset, mPending.length());
         }
+        return messages;
     }
 
     private void reserve(int frameBytes, int receivedBytes) {
--- a/wire/src/main/java/org/endivetray/wire/PeerServer.java
+++ b/wire/src/main/java/org/endivetray/wire/PeerServer.java
@@ -11,6 +11,7 @@
 import org.endivetray.policy.intake.ConnectionTable;
 import org.endivetray.policy.intake.IntakeBudget;
 import org.endivetray.policy.intake.IntakeLimits;
+import org.endivetray.policy.intake.ReadPacing;
 import org.endivetray.policy.intake.ReplyBudget;
 import org.endivetray.wire.gen.Body;
 import org.endivetray.wire.gen.Envelope;
@@ -24,7 +25,7 @@
  *
  * <p>Invariants: each message receives at most one reply, which carries the id of the message; the
  * bytes of incomplete frames and of unread replies, and the open connections, stay within the
- * limits.
+ * limits; connections with many messages at once together get a bounded part of the time.
  *
  * <p>This class is thread-safe.
  */
@@ -42,7 +43,12 @@
      */
     private static final int READ_IDLE_SECONDS = 600;
 
+    /** Most messages of a connection that are handled before others have their turn. */
+    private static final int MAX_MESSAGES_PER_TURN = 64;
+
+    private final Vertx mVertx;
     private final NetServer mServer;
+    private final ReadPacing mPacing = new ReadPacing();
     private final IntakeBudget mBudget;
     private final ReplyBudget<NetSocket> mReplies;
     private final ConnectionTable<NetSocket> mConnections;
@@ -65,6 +71,7 @@
             long localIncarnation,
             MessageHandler handler,
             IntakeLimits limits) {
+        mVertx = vertx;
         mServer =
                 vertx.createNetServer(
                         new NetServerOptions()
@@ -150,6 +157,7 @@
     private final class Connection {
         private final NetSocket mSocket;
         private final FrameReader mReader;
+        private boolean mIsPaced;
         private boolean mIsClosed;
 
         private Connection(NetSocket socket) {
@@ -161,20 +169,52 @@
             mSocket.setWriteQueueMaxSize(MAX_UNREAD_BYTES);
             mSocket.closeHandler(ignored -> onClosed());
             mSocket.exceptionHandler(cause -> close());
-            mSocket.handler(this::onBytes);
+            mSocket.handler(
+                    bytes -> {
+                        mReader.append(bytes);
+                        readMessages();
+                    });
         }
 
-        private void onBytes(Buffer bytes) {
+        /** Handles the messages of one turn; the rest waits, and nothing more is read meanwhile. */
+        private void readMessages() {
             if (mIsClosed) {
                 return;
             }
             try {
-                mReader.onBytes(bytes);
+                if (mReader.readMessages(MAX_MESSAGES_PER_TURN) == MAX_MESSAGES_PER_TURN) {
+                    pause();
+                } else {
+                    endPacing();
+                }
             } catch (RuntimeException e) {
                 close();
             }
         }
 
+        private void pause() {
+            if (!mIsPaced) {
+                mIsPaced = true;
+                mPacing.enter();
+            }
+            mSocket.pause();
+            mVertx.setTimer(Math.max(1, mPacing.pauseMillis()), ignored -> resume());
+        }
+
+        private void resume() {
+            if (!mIsClosed) {
+                mSocket.resume();
+                readMessages();
+            }
+        }
+
+        private void endPacing() {
+            if (mIsPaced) {
+                mIsPaced = false;
+                mPacing.leave();
+            }
+        }
+
         private void onMessage(Envelope message) {
             if (mIsClosed || mSocket.writeQueueFull()) {
                 close();
@@ -197,6 +237,7 @@
 
         private void onClosed() {
             mIsClosed = true;
+            endPacing();
             mReader.close();
             mReplies.removeAll(mSocket);
             mConnections.remove(mSocket);
