--- a/daemon/src/main/java/org/endivetray/daemon/membership/Membership.java
+++ b/daemon/src/main/java/org/endivetray/daemon/membership/Membership.java
@@ -21,7 +21,6 @@
 import org.endivetray.daemon.state.Snapshot;
 import org.endivetray.daemon.state.StateView;
 import org.endivetray.policy.RendezvousHash;
-import org.endivetray.policy.intake.IntakeLimits;
 import org.endivetray.wire.EnvelopeCodec;
 import org.endivetray.wire.MessageHandler;
 import org.endivetray.wire.PeerConnection;
@@ -90,15 +89,7 @@
         mName = settings.text(SettingKey.NAME);
         mIncarnation = incarnation;
         mLinks = new PeerLinks(vertx, settings, incarnation);
-        mServer =
-                new PeerServer(
-                        vertx,
-                        mName,
-                        incarnation,
-                        this::onMessage,
-                        IntakeLimits.ofHeap(Runtime.getRuntime().maxMemory())
-                                .withInnerConnections(
-                                        settings.number(SettingKey.INNER_CONNECTIONS)));
+        mServer = mLinks.newServer(this::onMessage);
         mDuty = new Duty("membership", RING_ENTRIES, TICK_MILLIS, this::tick);
         mHeartbeatNanos = TimeUnit.MILLISECONDS.toNanos(settings.number(SettingKey.HEARTBEAT));
         mSuspectNanos = MISSED_HEARTBEATS * mHeartbeatNanos;
--- a/daemon/src/main/java/org/endivetray/daemon/membership/PeerLinks.java
+++ b/daemon/src/main/java/org/endivetray/daemon/membership/PeerLinks.java
@@ -9,7 +9,10 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.endivetray.daemon.settings.SettingKey;
 import org.endivetray.daemon.settings.Settings;
+import org.endivetray.policy.intake.IntakeLimits;
+import org.endivetray.wire.MessageHandler;
 import org.endivetray.wire.PeerConnection;
+import org.endivetray.wire.PeerServer;
 
 /**
  * Opens connections to other daemons and counts the bytes sent over them.
@@ -21,6 +24,7 @@
 
     private final Vertx mVertx;
     private final NetClient mClient;
+    private final IntakeLimits mLimits;
     private final String mName;
     private final long mIncarnation;
     private final AtomicLong mSentBytes = new AtomicLong();
@@ -33,6 +37,9 @@
                         new NetClientOptions()
                                 .setTcpNoDelay(true)
                                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
+        mLimits =
+                IntakeLimits.ofHeap(Runtime.getRuntime().maxMemory())
+                        .withInnerConnections(settings.number(SettingKey.INNER_CONNECTIONS));
         mName = settings.text(SettingKey.NAME);
         mIncarnation = incarnation;
         for (String seed : settings.text(SettingKey.INNER_PEERS).split(",")) {
@@ -46,6 +53,11 @@
         }
     }
 
+    /** Returns a server for the messages of other daemons, which has not been started. */
+    PeerServer newServer(MessageHandler handler) {
+        return new PeerServer(mVertx, mName, mIncarnation, handler, mLimits);
+    }
+
     /** Returns a connection to the address, which is opened on first use. */
     PeerConnection open(String host, int port) {
         return new PeerConnection(mVertx, mClient, mName, mIncarnation, host, port, mSentBytes);
