Count and log what the inner ports refuse

Cause: connections and messages that the inner port refuses were neither counted nor logged, so that an operator could not see a crowd there. Change: the counter by reason and the bounded log line of the other ports, with the prefix inner. Both daemons.

--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -35,6 +35,7 @@
 import org.endivetray.job.ClientAccounts;
 import org.endivetray.job.SiteConfig;
 import org.endivetray.platform.PlacementAdvisor;
+import org.endivetray.platform.intake.IntakeLog;
 import org.endivetray.platform.site.SiteHttpServer;
 import org.endivetray.platform.site.SiteMinionOrders;
 import org.endivetray.platform.site.SitePlacementAdvisor;
@@ -150,7 +151,8 @@
                         settings.name(),
                         incarnation,
                         new PeerMessageHandler(mRouter, pools, new StoreCallHandler(mStore)),
-                        settings.intake());
+                        settings.intake(),
+                        new IntakeLog("inner", metrics::onRefusedBeforeReceipt)::onRefused);
         mMetricsServer = new MetricsServer(mVertx, metrics, settings.intake());
         mOwnership =
                 new OwnershipManager(
--- a/daemon/src/main/java/org/endivetray/daemon/membership/Membership.java
+++ b/daemon/src/main/java/org/endivetray/daemon/membership/Membership.java
@@ -89,7 +89,7 @@
         mName = settings.text(SettingKey.NAME);
         mIncarnation = incarnation;
         mLinks = new PeerLinks(vertx, settings, incarnation);
-        mServer = mLinks.newServer(this::onMessage);
+        mServer = mLinks.newServer(this::onMessage, metrics);
         mDuty = new Duty("membership", RING_ENTRIES, TICK_MILLIS, this::tick);
         mHeartbeatNanos = TimeUnit.MILLISECONDS.toNanos(settings.number(SettingKey.HEARTBEAT));
         mSuspectNanos = MISSED_HEARTBEATS * mHeartbeatNanos;
--- a/daemon/src/main/java/org/endivetray/daemon/membership/PeerLinks.java
+++ b/daemon/src/main/java/org/endivetray/daemon/membership/PeerLinks.java
@@ -7,8 +7,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
+import org.endivetray.daemon.observe.Metrics;
 import org.endivetray.daemon.settings.SettingKey;
 import org.endivetray.daemon.settings.Settings;
+import org.endivetray.platform.intake.IntakeLog;
 import org.endivetray.policy.intake.IntakeLimits;
 import org.endivetray.wire.MessageHandler;
 import org.endivetray.wire.PeerConnection;
@@ -54,8 +56,9 @@
     }
 
     /** Returns a server for the messages of other daemons, which has not been started. */
-    PeerServer newServer(MessageHandler handler) {
-        return new PeerServer(mVertx, mName, mIncarnation, handler, mLimits);
+    PeerServer newServer(MessageHandler handler, Metrics metrics) {
+        IntakeLog log = new IntakeLog("inner", metrics::onRefusedBeforeReceipt);
+        return new PeerServer(mVertx, mName, mIncarnation, handler, mLimits, log::onRefused);
     }
 
     /** Returns a connection to the address, which is opened on first use. */
--- a/wire/src/main/java/org/endivetray/wire/PeerServer.java
+++ b/wire/src/main/java/org/endivetray/wire/PeerServer.java
@@ -8,9 +8,13 @@
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.endivetray.EndivetrayException;
+import org.endivetray.ResultCode;
 import org.endivetray.policy.intake.ConnectionTable;
 import org.endivetray.policy.intake.IntakeBudget;
 import org.endivetray.policy.intake.IntakeLimits;
+import org.endivetray.policy.intake.IntakeReason;
 import org.endivetray.policy.intake.ReadPacing;
 import org.endivetray.policy.intake.ReplyBudget;
 import org.endivetray.wire.gen.Body;
@@ -55,6 +59,7 @@
     private final String mLocalName;
     private final long mLocalIncarnation;
     private final MessageHandler mHandler;
+    private final Consumer<IntakeReason> mOnRefused;
 
     /**
      * Constructs a server that has not been started.
@@ -64,14 +69,17 @@
      * @param localIncarnation the incarnation number of this daemon
      * @param handler handles the messages, not null
      * @param limits what may be held of messages that are not complete, not null
+     * @param onRefused learns why connections and messages are refused, not null
      */
     public PeerServer(
             Vertx vertx,
             String localName,
             long localIncarnation,
             MessageHandler handler,
-            IntakeLimits limits) {
+            IntakeLimits limits,
+            Consumer<IntakeReason> onRefused) {
         mVertx = vertx;
+        mOnRefused = onRefused;
         mServer =
                 vertx.createNetServer(
                         new NetServerOptions()
@@ -111,6 +119,7 @@
         new Connection(socket).open();
         NetSocket chosen = mConnections.add(socket);
         if (chosen == socket) {
+            mOnRefused.accept(IntakeReason.TOO_MANY_CONNECTIONS);
             closeNow(socket);
             return;
         }
@@ -134,6 +143,7 @@
                 .execute(
                         () -> {
                             if (mConnections.giveWay(chosen)) {
+                                mOnRefused.accept(IntakeReason.TOO_MANY_CONNECTIONS);
                                 closeNow(chosen);
                             } else {
                                 closeUnlessUsed(mConnections.chooseAboveLimit());
@@ -162,7 +172,7 @@
 
         private Connection(NetSocket socket) {
             mSocket = socket;
-            mReader = new FrameReader(this::onMessage, mBudget, this::close);
+            mReader = new FrameReader(this::onMessage, mBudget, this::onEvicted);
         }
 
         private void open() {
@@ -187,11 +197,21 @@
                 } else {
                     endPacing();
                 }
+            } catch (EndivetrayException e) {
+                if (e.code() == ResultCode.RING_FULL) {
+                    mOnRefused.accept(IntakeReason.BUSY);
+                }
+                close();
             } catch (RuntimeException e) {
                 close();
             }
         }
 
+        private void onEvicted() {
+            mOnRefused.accept(IntakeReason.TOO_SLOW);
+            close();
+        }
+
         private void pause() {
             if (!mIsPaced) {
                 mIsPaced = true;
@@ -253,6 +273,7 @@
         int bytes = frame.length();
         NetSocket unread = mReplies.add(socket, bytes);
         if (unread != null) {
+            mOnRefused.accept(IntakeReason.ANSWERS_NOT_READ);
             closeNow(unread);
         }
         if (unread != socket) {
