Keep one timer for a connection of a peer that is paused

Cause (by reading): bytes that arrived when reading was switched on again could end the next turn before the timer's own turn did, so that each of them set a timer, and their number grew with every turn. Change: nothing is handled during a pause, and reading is switched on only if the turn has left nothing.

--- a/wire/src/main/java/org/endivetray/wire/PeerServer.java
+++ b/wire/src/main/java/org/endivetray/wire/PeerServer.java
@@ -168,6 +168,7 @@
         private final NetSocket mSocket;
         private final FrameReader mReader;
         private boolean mIsPaced;
+        private boolean mIsPaused;
         private boolean mIsClosed;
 
         private Connection(NetSocket socket) {
@@ -188,7 +189,7 @@
 
         /** Handles the messages of one turn; the rest waits, and nothing more is read meanwhile. */
         private void readMessages() {
-            if (mIsClosed) {
+            if (mIsClosed || mIsPaused) {
                 return;
             }
             try {
@@ -217,14 +218,16 @@
                 mIsPaced = true;
                 mPacing.enter();
             }
+            mIsPaused = true;
             mSocket.pause();
             mVertx.setTimer(Math.max(1, mPacing.pauseMillis()), ignored -> resume());
         }
 
         private void resume() {
-            if (!mIsClosed) {
+            mIsPaused = false;
+            readMessages();
+            if (!mIsClosed && !mIsPaused) {
                 mSocket.resume();
-                readMessages();
             }
         }
 
