--- a/review/lab-3/Lab.java
+++ b/review/lab-3/Lab.java
@@ -26,7 +26,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 
--- a/review/lab-3/LargeSteps.java
+++ b/review/lab-3/LargeSteps.java
@@ -79,7 +79,8 @@
             boolean wasRunning;
             synchronized (Lab.RUNS) {
                 isDone = Lab.RUNS.stream().filter(run -> run.mTask.startsWith(each.id())
-                        && run.mHow.equals("done")).map(run -> run.mTask).distinct().count() == each.workUnits();
+                        && run.mHow.equals("done")).map(run -> run.mTask).distinct().count()
+                        == each.workUnits();
                 wasRunning = Lab.RUNS.stream().anyMatch(run -> run.mTask.startsWith(each.id())
                         && run.mStartMillis <= to
                         && (run.mEndMillis < 0 || run.mEndMillis >= from));
