--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/BatchWriter.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/BatchWriter.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import org.endivetray.EndivetrayException;
 import org.endivetray.daemon.job.SchedulerExecutor;
 import org.endivetray.platform.SharedStore;
 import org.endivetray.platform.SharedStore.Commit;
@@ -29,7 +28,8 @@
  * answer was lost cannot overwrite a later one.
  *
  * <p>Invariants: at most one batch is in flight; a change is reported as stored only after the
- * store has confirmed it.
+ * store has confirmed it; a rewrite stays queued until it is stored, replaced by a later one of its
+ * key or the shard is lost, also if it cannot be encoded.
  *
  * <p>This class is not thread-safe; it belongs to the scheduler's thread.
  */
@@ -42,6 +42,12 @@
     /** Time for which changes are collected into a batch. This is well below a caller's timeout. */
     private static final long GATHER_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
 
+    /** Delay before a change that could not be encoded is encoded again. */
+    private static final long ENCODE_RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** Size of the values of a batch from which no further change is added to it, in bytes. */
+    private static final int FULL_BATCH_BYTES = 1_000_000;
+
     private final SharedStore mStore;
     private final SchedulerExecutor mExecutor;
     private final Condition mOwner;
@@ -98,7 +104,10 @@
         mRemovals.add(new Removal(key, onRemoved));
     }
 
-    /** Runs an action once all changes queued so far have been stored or dropped. */
+    /**
+     * Runs an action once all changes queued so far have been stored, or found to be refused if
+     * they are creations.
+     */
     void afterStored(Runnable action) {
         if (mQueued.isEmpty() && mInFlight.isEmpty()) {
             action.run();
@@ -137,6 +146,7 @@
         List<Condition> conditions = new ArrayList<>(List.of(mOwner));
         List<Write> writes = new ArrayList<>();
         int entries = 1;
+        int bytes = 0;
         boolean isFull = false;
         var iterator = mQueued.values().iterator();
         while (iterator.hasNext() && !isFull) {
@@ -145,15 +155,19 @@
                 continue;
             }
             int size = change.entries();
-            isFull = entries + size > SharedStore.MAX_COMMIT_ENTRIES;
+            isFull = entries + size > SharedStore.MAX_COMMIT_ENTRIES || bytes >= FULL_BATCH_BYTES;
             if (isFull) {
                 continue;
             }
-            iterator.remove();
-            if (encode(change)) {
+            if (encode(change, nowNanos)) {
+                iterator.remove();
                 entries += size;
+                bytes += change.sentValue().length;
                 batch.put(change.key(), change);
                 change.addTo(conditions, writes);
+            } else if (change.isCreation()) {
+                iterator.remove();
+                change.onFailed(CommitOutcome.NOT_DONE);
             }
         }
         mIsUrgent = isFull;
@@ -167,14 +181,14 @@
                 (result, cause) -> onResult(result));
     }
 
-    /** Encodes a change, and returns false if that fails, in which case it is dropped. */
-    private static boolean encode(Change change) {
+    /** Encodes a change, and returns false if that fails, in which case it is tried again later. */
+    private static boolean encode(Change change, long nowNanos) {
         try {
             change.encode();
             return true;
-        } catch (EndivetrayException e) {
-            LOGGER.log(Level.ERROR, "journal: change dropped key={0} {1}", change.key(), e);
-            change.onFailed(CommitOutcome.NOT_DONE);
+        } catch (RuntimeException e) {
+            LOGGER.log(Level.ERROR, "journal: change not encoded key=" + change.key(), e);
+            change.notBefore(nowNanos + ENCODE_RETRY_NANOS);
             return false;
         }
     }
@@ -294,7 +308,7 @@
         }
     }
 
-    /** An action to run once all changes up to a number have been stored or dropped. */
+    /** An action to run once all changes up to a number have been stored. */
     private record PendingAction(long number, Runnable action) {}
 
     /** A key to remove. */
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/BatchWriterTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/BatchWriterTest.java
@@ -105,27 +105,40 @@
         assertThat(done).containsExactly("stored");
     }
 
-    /** Guards against changes that are lost together with one that is too large to be stored. */
+    /**
+     * Guards against an end that is acknowledged, or a cancellation that is answered, although the
+     * change that it caused was dropped because its record is too large.
+     */
     @Test
-    void aChangeThatCannotBeEncodedDoesNotHoldUpOthers() {
+    void aChangeThatCannotBeEncodedIsKeptAndHoldsUpWhatWaitsForItButNotOtherChanges() {
         List<String> done = new ArrayList<>();
+        boolean[] isTooLarge = {true};
         mWriter.add(change("before"), false);
         mWriter.add(
                 Change.rewrite(
                         "large",
                         () -> {
-                            throw new EndivetrayException(
-                                    ResultCode.RECORD_TOO_LARGE, "larger than the store accepts");
+                            if (isTooLarge[0]) {
+                                throw new EndivetrayException(
+                                        ResultCode.RECORD_TOO_LARGE,
+                                        "larger than the store accepts");
+                            }
+                            return new byte[] {1};
                         },
                         0,
                         version -> {}),
                 false);
         mWriter.add(Change.rewrite("after", () -> new byte[] {1}, 0, version -> {}), false);
         mWriter.afterStored(() -> done.add("stored"));
-        run(200);
+        run(1_000);
         assertThat(stored()).isEqualTo("before");
         assertThat(mStore.get("after").isPresent()).isTrue();
         assertThat(mStore.get("large").isPresent()).isFalse();
+        assertThat(done).isEmpty();
+        assertThat(mWriter.isIdle()).isFalse();
+        isTooLarge[0] = false;
+        run(1_000);
+        assertThat(mStore.get("large").isPresent()).isTrue();
         assertThat(done).containsExactly("stored");
         assertThat(mWriter.isIdle()).isTrue();
     }
