--- a/daemon/src/main/java/org/endivetray/daemon/job/record/JobKeys.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/record/JobKeys.java
@@ -33,6 +33,9 @@
 
     private static final String POOL_PREFIX = "endivetray/pool/";
 
+    /** Ends the id of a job in the keys that continue its progress. */
+    private static final char PART_SEPARATOR = '/';
+
     private JobKeys() {}
 
     /** Returns the prefix of the jobs that the pool's owner has accepted. */
@@ -58,11 +61,32 @@
         return POOL_PREFIX + pool + "/deputy/";
     }
 
-    /** Returns the prefix of the jobs' progress. */
+    /**
+     * Returns the prefix of the jobs' progress. What has no place in the record of a job is stored
+     * under {@link #progressParts}.
+     */
     public static String progress(String pool) {
         return POOL_PREFIX + pool + "/progress/";
     }
 
+    /**
+     * Returns the prefix of the records that continue the progress of a job: its further parts
+     * under their numbers, and long checkpoints under {@code OCCURRENCE.STEP.INDEX} of their task.
+     */
+    public static String progressParts(String pool, String job) {
+        return progress(pool) + job + PART_SEPARATOR;
+    }
+
+    /**
+     * Returns the id of the job to which a record under {@link #progress} belongs.
+     *
+     * @param name rest of the record's key behind the prefix, not null
+     */
+    public static String jobOfProgress(String name) {
+        int end = name.indexOf(PART_SEPARATOR);
+        return end < 0 ? name : name.substring(0, end);
+    }
+
     /**
      * Returns the key of the pool that has accepted a job. The key exists while the job's record
      * does, so that a job is accepted by one pool only.
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Gang.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Gang.java
@@ -31,8 +31,8 @@
      * @return whether that failure of the task or its gang was not known
      */
     static boolean recordFailure(TaskEntry task, int run) {
-        boolean isNew = task.mFailedRuns.add(run);
-        sharingOutcome(task).forEach(member -> member.mFailedRuns.add(run));
+        boolean isNew = task.addFailedRun(run);
+        sharingOutcome(task).forEach(member -> member.addFailedRun(run));
         return isNew;
     }
 
@@ -48,6 +48,6 @@
         }
         Set<Integer> failedRuns = new HashSet<>();
         step.mTasks.forEach(task -> failedRuns.addAll(task.mFailedRuns));
-        step.mTasks.forEach(task -> task.mFailedRuns.addAll(failedRuns));
+        step.mTasks.forEach(task -> failedRuns.forEach(task::addFailedRun));
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobEntry.java
@@ -2,13 +2,9 @@
 
 import java.util.BitSet;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
-import java.util.stream.Collectors;
 import org.endivetray.daemon.job.record.StoredJob;
 import org.endivetray.daemon.job.record.StoredProgress;
 import org.endivetray.job.JobState;
@@ -35,9 +31,11 @@
 
     JobState mState = JobState.QUEUED;
     JobState mStoredState = JobState.QUEUED;
-    long mProgressVersion;
 
-    /** Time of the monotonic clock before which the progress is not stored again. */
+    /** What is stored of the progress, and where. */
+    final JobProgress mProgress = new JobProgress(this);
+
+    /** Time of the monotonic clock before which no record of the progress is stored again. */
     long mNextProgressNanos;
 
     long mEndedMillis;
@@ -167,78 +165,24 @@
         return mState != JobState.QUEUED;
     }
 
+    /** Returns the numbers of the occurrences that are done, which must not be modified. */
+    BitSet doneOccurrences() {
+        return mDone;
+    }
+
     /**
-     * Restores the stored progress of the job and loads the occurrences that have been started and
-     * are not done.
+     * Restores the stored state of the job and which of its occurrences are done.
      *
      * @param progress the stored progress, not null
      * @param version version of its key
      */
     void restore(StoredProgress progress, long version) {
-        mProgressVersion = version;
         mState = progress.state();
         mStoredState = progress.state();
         mEndedMillis = progress.endedMillis();
         mDone.set(0, progress.firstNotDone());
         progress.doneLater().forEach(mDone::set);
-        if (mState.isFinal()) {
-            return;
-        }
-        for (int number : startedOccurrences(progress)) {
-            if (mayLoad(number)) {
-                restore(load(number), progress);
-            }
-        }
-    }
-
-    private static Set<Integer> startedOccurrences(StoredProgress progress) {
-        return progress.tasks().keySet().stream()
-                .map(key -> Integer.valueOf(key.substring(0, key.indexOf('.'))))
-                .collect(Collectors.toSet());
-    }
-
-    private void restore(OccurrenceEntry occurrence, StoredProgress progress) {
-        for (TaskEntry task : occurrence.tasks()) {
-            restore(task, progress.tasks().get(task.progressKey()));
-        }
-        occurrence.mSteps.forEach(Gang::complete);
-        if (occurrence.mOpenTasks == 0) {
-            markDone(occurrence.mNumber);
-            unload(occurrence);
-        }
-    }
-
-    private void restore(TaskEntry task, StoredProgress.StoredTask stored) {
-        if (stored == null) {
-            return;
-        }
-        task.mRun = stored.run();
-        task.mFailedRuns.addAll(stored.failedRuns());
-        task.mCheckpoint = stored.checkpoint();
-        if (stored.done()) {
-            task.markDone();
-        }
-    }
-
-    /** Returns the progress to store. */
-    StoredProgress progress() {
-        Map<String, StoredProgress.StoredTask> tasks = new HashMap<>();
-        for (OccurrenceEntry occurrence : mLoaded.values()) {
-            for (TaskEntry task : occurrence.tasks()) {
-                if (task.hasProgress()) {
-                    tasks.put(
-                            task.progressKey(),
-                            new StoredProgress.StoredTask(
-                                    task.mPhase == TaskPhase.DONE,
-                                    task.mFailedRuns,
-                                    task.highestRun(),
-                                    task.mCheckpoint));
-                }
-            }
-        }
-        int firstNotDone = mDone.nextClearBit(0);
-        List<Integer> doneLater =
-                mDone.stream().filter(number -> number > firstNotDone).boxed().toList();
-        return new StoredProgress(mState, mEndedMillis, tasks, firstNotDone, doneLater);
+        mProgress.first().mVersion = version;
+        mProgress.onRecordLoaded(mState, (BitSet) mDone.clone());
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobRequestHandler.java
@@ -342,6 +342,7 @@
     private void purge(JobEntry job) {
         if (!job.mIsRemoving) {
             job.mIsRemoving = true;
+            ProgressWriter.removeFurtherRecords(job, mState.mPool, mWriter);
             mWriter.remove(JobKeys.location(job.mId), () -> {});
             mWriter.remove(JobKeys.jobs(mState.mPool) + job.mId, () -> {});
             mWriter.remove(JobKeys.inboxJobs(mState.mPool) + job.mId, () -> {});
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardLoader.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ShardLoader.java
@@ -3,6 +3,8 @@
 import io.vertx.core.Future;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,7 +14,6 @@
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.daemon.job.record.StoredJob;
 import org.endivetray.daemon.job.record.StoredMinions;
-import org.endivetray.daemon.job.record.StoredProgress;
 import org.endivetray.platform.RecordCodec;
 import org.endivetray.platform.SharedStore;
 import org.endivetray.platform.VersionedValue;
@@ -134,13 +135,18 @@
                 }
             }
             String progressPrefix = JobKeys.progress(state.mPool);
+            Map<String, List<VersionedValue>> records = new HashMap<>();
             for (VersionedValue item : progress) {
-                JobEntry entry = entries.get(item.key().substring(progressPrefix.length()));
-                if (entry != null) {
-                    decode(item, StoredProgress.class)
-                            .ifPresent(stored -> entry.restore(stored, item.version()));
-                }
+                String name = item.key().substring(progressPrefix.length());
+                records.computeIfAbsent(JobKeys.jobOfProgress(name), id -> new ArrayList<>())
+                        .add(item);
             }
+            records.forEach(
+                    (id, items) -> {
+                        if (entries.containsKey(id)) {
+                            ProgressLoader.restore(entries.get(id), state.mPool, items);
+                        }
+                    });
             for (JobEntry entry : entries.values()) {
                 entry.mIsInherited = true;
                 state.add(entry);
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskEntry.java
@@ -30,7 +30,13 @@
     private int mHighestOtherRun;
 
     final Set<Integer> mFailedRuns = new HashSet<>();
+
+    /** Last saved checkpoint, empty if there is none. */
     String mCheckpoint = "";
+
+    /** Where the progress is stored, null if there is none to store. */
+    ProgressPart mPart;
+
     long mStartSentNanos;
 
     /** Time at which the last order was confirmed, by an answer or a listing. */
@@ -145,16 +151,36 @@
         return mLastOutcome;
     }
 
+    /** Records that a run has failed, and returns whether that was not known. */
+    boolean addFailedRun(int run) {
+        boolean isNew = mFailedRuns.add(run);
+        if (isNew) {
+            mStep.mJob.mProgress.onChanged(this);
+        }
+        return isNew;
+    }
+
+    /** Records a checkpoint, which replaces the last one. */
+    void saveCheckpoint(String checkpoint) {
+        if (!mCheckpoint.equals(checkpoint)) {
+            mCheckpoint = checkpoint;
+            mStep.mJob.mProgress.onCheckpoint(this);
+        }
+    }
+
+    /** Restores the stored progress of a task that is not done. */
+    void restore(int run, Set<Integer> failedRuns, String checkpoint) {
+        mRun = run;
+        mFailedRuns.addAll(failedRuns);
+        mCheckpoint = checkpoint;
+    }
+
     /** Marks the task, which has no minion, as done. */
     void markDone() {
         mPhase = TaskPhase.DONE;
         mStep.mWaitingCount--;
         mStep.mDoneCount++;
         mStep.mOccurrence.mOpenTasks--;
-    }
-
-    /** Returns whether the task has progress that must be stored. */
-    boolean hasProgress() {
-        return mPhase == TaskPhase.DONE || !mFailedRuns.isEmpty() || !mCheckpoint.isEmpty();
+        mStep.mJob.mProgress.onChanged(this);
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskLifecycle.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskLifecycle.java
@@ -302,7 +302,7 @@
 
     private void saveCheckpoint(TaskEntry task, String checkpoint) {
         if (!checkpoint.isEmpty() && !task.mStep.mJob.mState.isFinal()) {
-            task.mCheckpoint = checkpoint;
+            task.saveCheckpoint(checkpoint);
             mProgressWriter.store(task.mStep.mJob, false);
         }
     }
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualMinions.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualMinions.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
 import org.endivetray.daemon.job.virtual.VirtualExecutor;
 import org.endivetray.job.MinionInfo;
 import org.endivetray.job.TaskEnd;
@@ -23,7 +25,6 @@
     private static final long DELAY_MILLIS = 1;
     private static final long TIMEOUT_MILLIS = 800;
     private static final long STOP_MILLIS = 100;
-    private static final int MAX_ENDS = 500;
     private static final long RESTART_MILLIS = 900;
     private static final long MAX_LEASE_MILLIS = 6_000;
 
@@ -49,6 +50,9 @@
 
     final List<VirtualEnd> mAllEnds = new ArrayList<>();
 
+    /** Returns the checkpoint that a run of a task saves at once, empty for none. */
+    UnaryOperator<String> mCheckpoint = task -> "";
+
     /** Determines how long a run takes and how it ends. */
     interface Behaviour {
         Outcome of(String task, int run);
@@ -110,7 +114,7 @@
             MinionInfo info,
             LateOrders.Kind kind,
             long token,
-            java.util.function.Function<Minion, T> order,
+            Function<Minion, T> order,
             T unknown) {
         Promise<T> promise = Promise.promise();
         Minion minion = mMinions.get(info.id());
@@ -196,13 +200,12 @@
         final MinionInfo mInfo;
         final Map<String, VirtualRun> mRuns = new TreeMap<>();
         private final Map<String, Integer> mHighestRuns = new HashMap<>();
-        private final TreeMap<Long, VirtualEnd> mEnds = new TreeMap<>();
+        private final VirtualEnds mEnds = new VirtualEnds();
 
         /** Highest token that the incarnation has seen. */
         long mToken;
 
         private long mLeaseMillis;
-        private long mNextEnd = 1;
         private long mIncarnation = 1;
 
         /** Time at which the incarnation started, on the executor's clock, in milliseconds. */
@@ -271,7 +274,6 @@
             mEnds.clear();
             mToken = 0;
             mLeaseMillis = 0;
-            mNextEnd = 1;
             mIncarnation++;
             mBornMillis = mExecutor.millis();
             mListedMillis = -1;
@@ -296,7 +298,12 @@
             }
             extend(order.leaseEndMillis());
             Outcome outcome = mBehaviour.of(order.task(), order.run());
-            VirtualRun run = new VirtualRun(order.task(), order.run(), mExecutor.millis());
+            VirtualRun run =
+                    new VirtualRun(
+                            order.task(),
+                            order.run(),
+                            mExecutor.millis(),
+                            mCheckpoint.apply(order.task()));
             mRuns.put(order.task(), run);
             mStartOrders.add(order);
             mStarts.add(
@@ -316,13 +323,7 @@
             }
             mRuns.remove(run.mTask);
             mHighestRuns.merge(run.mTask, run.mRun, Math::max);
-            VirtualEnd record =
-                    new VirtualEnd(
-                            mExecutor.millis(),
-                            new EndedTask(mNextEnd, run.mTask, run.mRun, end, ""));
-            mEnds.put(mNextEnd, record);
-            mAllEnds.add(record);
-            mNextEnd++;
+            mAllEnds.add(mEnds.add(mExecutor.millis(), run, end));
         }
 
         private OrderOutcome stop(String task, int run, long token) {
@@ -346,7 +347,7 @@
                     Math.max(1, mLeaseMillis - clock()),
                     () -> {
                         if (clock() >= mLeaseMillis) {
-                            mEnds.values().forEach(end -> end.mIsLeaseExpired = true);
+                            mEnds.markLeaseExpired();
                             List.copyOf(mRuns.values())
                                     .forEach(run -> end(run, TaskEnd.LEASE_EXPIRED));
                         }
@@ -359,9 +360,7 @@
                 return false;
             }
             mToken = order.token();
-            Map<Long, VirtualEnd> acknowledged = mEnds.headMap(order.lastSeenEnd(), true);
-            acknowledged.values().forEach(end -> end.mIsAcknowledged = !end.mIsLeaseExpired);
-            acknowledged.clear();
+            mEnds.acknowledge(order.lastSeenEnd());
             if (order.leaseEndMillis() > 0) {
                 extend(order.leaseEndMillis());
             }
@@ -395,10 +394,7 @@
                                     .filter(run -> !(run.mIsStopping && mHidesStoppingRuns))
                                     .map(run -> run.listed(mExecutor.millis(), mStartupMillis))
                                     .toList(),
-                            mEnds.values().stream()
-                                    .limit(MAX_ENDS)
-                                    .map(end -> end.mEnded)
-                                    .toList());
+                            mEnds.listed());
             mExecutor.schedule(DELAY_MILLIS, () -> promise.complete(listing));
         }
     }
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualRun.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualRun.java
@@ -11,17 +11,19 @@
     final String mTask;
     final int mRun;
     final long mStartMillis;
+    final String mCheckpoint;
     boolean mIsStopping;
 
-    VirtualRun(String task, int run, long startMillis) {
+    VirtualRun(String task, int run, long startMillis, String checkpoint) {
         mTask = task;
         mRun = run;
         mStartMillis = startMillis;
+        mCheckpoint = checkpoint;
     }
 
     RunningTask listed(long nowMillis, long startupMillis) {
         long age = nowMillis - mStartMillis;
         int percent = age >= startupMillis ? 100 : (int) (age * 100 / startupMillis);
-        return new RunningTask(mTask, mRun, "", percent, 0);
+        return new RunningTask(mTask, mRun, mCheckpoint, percent, 0);
     }
 }
--- a/daemon/src/test/java/org/endivetray/daemon/job/virtual/VirtualStore.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/virtual/VirtualStore.java
@@ -253,7 +253,7 @@
     }
 
     /** Returns the items whose keys have a prefix, by key. */
-    Map<String, VersionedValue> withPrefix(String prefix) {
+    public Map<String, VersionedValue> withPrefix(String prefix) {
         return mItems.subMap(prefix, prefix + Character.MAX_VALUE);
     }
 
