--- a/policy/src/main/java/org/endivetray/policy/job/DurationModel.java
+++ b/policy/src/main/java/org/endivetray/policy/job/DurationModel.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Estimates how long tasks of each kind take from observed durations, since declared durations are
@@ -11,7 +12,9 @@
  * task are estimated from all as well: those observed away from it are divided by the factor by
  * which they are longer.
  *
- * <p>Invariants: an estimate is at least 1 millisecond.
+ * <p>Invariants: an estimate from a declared duration is at least 1 millisecond and at most {@value
+ * #MAX_DECLARED_DAYS} days, so that sums over the tasks of a pool do not overflow whatever callers
+ * declare.
  *
  * <p>This class is not thread-safe.
  */
@@ -22,6 +25,11 @@
     /** Number of observed durations from which their mean is used. */
     private static final int MIN_DURATIONS = 5;
 
+    /** Longest declared duration that counts; callers declare more for one that is not known. */
+    private static final long MAX_DECLARED_DAYS = 36_500;
+
+    private static final long MAX_DECLARED_MILLIS = TimeUnit.DAYS.toMillis(MAX_DECLARED_DAYS);
+
     private final Map<String, Observed> mObserved = new HashMap<>();
     private final FarFactor mFarFactor;
 
@@ -78,9 +86,13 @@
      * @param declaredMillis the declared duration, in milliseconds
      */
     public long expectedMillis(String kind, long declaredMillis) {
-        return Math.max(
-                1,
-                isLearnt(kind) ? Math.round(mObserved.get(kind).mPlaced.mMillis) : declaredMillis);
+        return isLearnt(kind)
+                ? Math.max(1, Math.round(mObserved.get(kind).mPlaced.mMillis))
+                : limitDeclared(declaredMillis);
+    }
+
+    private static long limitDeclared(long declaredMillis) {
+        return Math.max(1, Math.min(MAX_DECLARED_MILLIS, declaredMillis));
     }
 
     /** Returns whether enough durations near the data have been observed to use their mean. */
@@ -96,11 +108,9 @@
      * @param declaredMillis the declared duration, in milliseconds
      */
     public long expectedNearMillis(String kind, long declaredMillis) {
-        return Math.max(
-                1,
-                isLearntNear(kind)
-                        ? Math.round(mObserved.get(kind).mNear.mMillis)
-                        : declaredMillis);
+        return isLearntNear(kind)
+                ? Math.max(1, Math.round(mObserved.get(kind).mNear.mMillis))
+                : limitDeclared(declaredMillis);
     }
 
     /**
@@ -116,7 +126,7 @@
         if (isLearntNear(kind)) {
             return mObserved.get(kind).mNearDistribution.remaining(age);
         }
-        long declared = Math.max(1, declaredMillis);
+        long declared = limitDeclared(declaredMillis);
         long rest = Math.max(declared - age, age);
         return new TimeEstimate(rest, rest + declared);
     }
--- a/policy/src/test/java/org/endivetray/policy/job/DurationModelTest.java
+++ b/policy/src/test/java/org/endivetray/policy/job/DurationModelTest.java
@@ -6,6 +6,8 @@
 
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests the estimates of durations, of which a few are many times as long as the others.
@@ -19,6 +21,9 @@
     /** Relative error of recorded durations. */
     private static final double PRECISION = 0.01;
 
+    /** Estimates of all tasks of a job, 10,000 at the most, are added up. */
+    private static final long MAX_SUMMAND = Long.MAX_VALUE / 100_000;
+
     private static void assertNear(long expected, long actual) {
         assertEquals(expected, actual, PRECISION * expected + 1);
     }
@@ -48,6 +53,26 @@
         assertEquals(DECLARED_MILLIS - 1_000, remaining.expectedMillis());
     }
 
+    /**
+     * Guards against an overflow that ends each pass of the dispatcher for as long as a task runs
+     * whose caller declared the largest number for a duration that is not known.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            longs = {Long.MAX_VALUE, Long.MAX_VALUE / 2 + 1, 1L << 61, 0, -1, Long.MIN_VALUE})
+    void anyDeclaredDurationGivesEstimatesThatCanBeAddedUp(long declaredMillis) {
+        DurationModel model = new DurationModel();
+        for (long age : new long[] {Long.MIN_VALUE, 0, 1_000, 1L << 40}) {
+            TimeEstimate remaining = model.remaining(KIND, declaredMillis, age);
+            assertTrue(remaining.expectedMillis() >= 0, remaining.toString());
+            assertTrue(remaining.lateMillis() < MAX_SUMMAND, remaining.toString());
+        }
+        assertTrue(model.expectedMillis(KIND, declaredMillis) >= 1);
+        assertTrue(model.expectedMillis(KIND, declaredMillis) < MAX_SUMMAND);
+        assertTrue(model.expectedNearMillis(KIND, declaredMillis) >= 1);
+        assertTrue(model.expectedNearMillis(KIND, declaredMillis) < MAX_SUMMAND);
+    }
+
     @Test
     void durationsOfLongAgoNoLongerCount() {
         DurationModel model = new DurationModel();
