--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ExtremeValuesTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ExtremeValuesTest.java
@@ -9,6 +9,7 @@
 import org.endivetray.job.StepSpec;
 import org.endivetray.job.TaskEnd;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -56,8 +57,7 @@
         mHarness.mMinions.mBehaviour =
                 (task, run) ->
                         new VirtualMinions.Outcome(
-                                task.startsWith(ShardHarness.id(ODD)) ? 60_000 : 500,
-                                TaskEnd.DONE);
+                                task.startsWith(ShardHarness.id(ODD)) ? 60_000 : 500, TaskEnd.DONE);
         mHarness.addMinion("p1", "p");
         mHarness.addMinion("q1", "q");
         Shard shard = mHarness.takeOver();
@@ -87,12 +87,54 @@
      * runs whose declared duration is the largest number.
      */
     @ParameterizedTest
-    @ValueSource(
-            longs = {Long.MAX_VALUE, Long.MAX_VALUE / 2 + 1, 1L << 61, 0, -1, Long.MIN_VALUE})
+    @ValueSource(longs = {Long.MAX_VALUE, Long.MAX_VALUE / 2 + 1, 1L << 61, 0, -1, Long.MIN_VALUE})
     void tasksOfOneRackStartBesideATaskOfAnyDeclaredDuration(long estimateMillis) {
         Shard shard = start();
         submitOdd(shard, ODD_QUEUE, ShardHarness.job(step(estimateMillis, false)));
         assertThat(state(shard, ODD)).isEqualTo(JobState.RUNNING);
         assertOrdinaryJobsAreDone(shard);
     }
+
+    /** Guards against ranks that are wrong or fail because the objective of a queue overflows. */
+    @ParameterizedTest
+    @CsvSource({
+        "2, 9223372036854775807, 9223372036854775807",
+        "1e300, 600, 500",
+        "1e300, -9223372036854775808, 9223372036854775807",
+        "Infinity, 0, 500",
+        "-1e300, 600, 500"
+    })
+    void jobsStartWhateverTheObjectiveOfTheirQueue(
+            double stretch, long targetLatencyMillis, long estimateMillis) {
+        Shard shard = start();
+        submitOdd(
+                shard,
+                queue(stretch, targetLatencyMillis),
+                ShardHarness.job(step(estimateMillis, true)));
+        assertThat(state(shard, ODD)).isEqualTo(JobState.RUNNING);
+        assertOrdinaryJobsAreDone(shard);
+    }
+
+    /** Guards against an occurrence that starts years early because its due time overflows. */
+    @ParameterizedTest
+    @CsvSource({
+        "0, 4611686018427387904, 1",
+        "1700000000000, 9223372036854775807, 1",
+        "9223372036854775807, 9223372036854775807, 0",
+        "9223372036854775807, 1, 0",
+        "-9223372036854775808, 1, 4"
+    })
+    void onlyOccurrencesThatAreDueStart(long firstMillis, long intervalMillis, int expected) {
+        Shard shard = start();
+        JobSpec spec =
+                new JobSpec("payload", List.of(step(500, false)), 4, firstMillis, intervalMillis);
+        submitOdd(shard, ODD_QUEUE, spec);
+        assertThat(
+                        mHarness.mMinions.mStarts.stream()
+                                .map(VirtualMinions.Start::task)
+                                .map(name -> name.substring(0, name.indexOf('.', 17)))
+                                .distinct())
+                .hasSize(expected);
+        assertOrdinaryJobsAreDone(shard);
+    }
 }
--- a/model/src/main/java/org/endivetray/job/JobSpec.java
+++ b/model/src/main/java/org/endivetray/job/JobSpec.java
@@ -29,6 +29,9 @@
     /** Most tasks of a job in all its occurrences. */
     public static final int MAX_TOTAL_TASKS = 100_000;
 
+    /** Latest due time that is told apart from later ones, in milliseconds since 1970. */
+    public static final long MAX_DUE_MILLIS = 1L << 53;
+
     /**
      * Constructs a job.
      *
@@ -112,11 +115,17 @@
     }
 
     /**
-     * Returns the time at which an occurrence is due, in milliseconds since 1970.
+     * Returns the time at which an occurrence is due, in milliseconds since 1970, within {@link
+     * #MAX_DUE_MILLIS} of it. Callers set both parts, so their sum may exceed the range of a number
+     * of 64 bits; such an occurrence is not due in the lifetime of a daemon, or was due long ago.
      *
      * @param occurrence number of the occurrence, from 0
      */
     public long dueMillis(int occurrence) {
+        double approximate = (double) firstDueMillis + (double) occurrence * intervalMillis;
+        if (Math.abs(approximate) >= MAX_DUE_MILLIS) {
+            return approximate > 0 ? MAX_DUE_MILLIS : -MAX_DUE_MILLIS;
+        }
         return firstDueMillis + occurrence * intervalMillis;
     }
 }
