--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.endivetray.policy.job.DurationModel;
+import org.endivetray.policy.job.LatencyObjective;
 import org.endivetray.policy.job.StepRank;
 
 /**
@@ -105,10 +106,13 @@
                 job.mStored.spec().isScheduled()
                         ? nowMillis - job.dueMillis(step.mOccurrence.mNumber)
                         : TimeUnit.NANOSECONDS.toMillis(nowNanos - job.mAcceptedNanos);
-        long objectiveMillis =
-                Math.round(job.mStored.queue().stretch() * criticalPathMillis)
-                        + job.mStored.queue().targetLatencyMillis();
-        step.mSlackMillis = objectiveMillis - ageMillis - remainingMillis;
+        step.mSlackMillis =
+                LatencyObjective.slackMillis(
+                        job.mStored.queue().stretch(),
+                        criticalPathMillis,
+                        job.mStored.queue().targetLatencyMillis(),
+                        ageMillis,
+                        remainingMillis);
         return StepRank.of(step.mSlackMillis, remainingMillis, ageMillis, workCoreSeconds);
     }
 
--- a/policy/src/test/java/org/endivetray/policy/job/DurationModelTest.java
+++ b/policy/src/test/java/org/endivetray/policy/job/DurationModelTest.java
@@ -58,8 +58,7 @@
      * whose caller declared the largest number for a duration that is not known.
      */
     @ParameterizedTest
-    @ValueSource(
-            longs = {Long.MAX_VALUE, Long.MAX_VALUE / 2 + 1, 1L << 61, 0, -1, Long.MIN_VALUE})
+    @ValueSource(longs = {Long.MAX_VALUE, Long.MAX_VALUE / 2 + 1, 1L << 61, 0, -1, Long.MIN_VALUE})
     void anyDeclaredDurationGivesEstimatesThatCanBeAddedUp(long declaredMillis) {
         DurationModel model = new DurationModel();
         for (long age : new long[] {Long.MIN_VALUE, 0, 1_000, 1L << 40}) {
