--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/LargeJobTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/LargeJobTest.java
@@ -212,6 +212,23 @@
                 .isEmpty();
     }
 
+    /** Guards against a checkpoint that no record can hold, which holds up all ends of a pool. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\ud800", "\udc00\ud800", "\u0000\"\\\uffff", "\ud83d\ude00"})
+    void aCheckpointMayBeAnyText(String text) {
+        mHarness.mMinions.mCheckpoint = task -> text;
+        mHarness.mMinions.mBehaviour = endingOverSeconds(1_000, 10, TaskEnd.STOPPED);
+        Shard first = startWithLargeMinions();
+        mHarness.submit(first, 1, ShardHarness.step(4));
+        runUntilAcknowledged(first, 4);
+        first.markLost("killed");
+        mHarness.mMinions.all().forEach(VirtualMinions.Minion::restart);
+        int starts = mHarness.mMinions.mStartOrders.size();
+        mHarness.run(12_000, mHarness.takeOver());
+        assertThat(mHarness.mMinions.mStartOrders.size()).isGreaterThan(starts);
+        assertThat(mHarness.mMinions.mStartOrders.get(starts).checkpoint()).isEqualTo(text);
+    }
+
     private boolean isCompleted(Shard shard) {
         Future<JobAnswer> state = shard.state(ShardHarness.id(1));
         return state.succeeded() && state.result().state() == JobState.COMPLETED;
