--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionRecord.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/MinionRecord.java
@@ -1,5 +1,7 @@
 package org.endivetray.daemon.job.shard;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -8,9 +10,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
+import org.endivetray.EndivetrayException;
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.daemon.job.record.StoredMinions;
 import org.endivetray.job.MinionInfo;
+import org.endivetray.platform.RecordCodec;
 
 /**
  * Stores the list of minions that may hold runs, from which the next owner knows which minions it
@@ -24,9 +29,20 @@
  * it once nothing can run on it, so that the next owner does not wait for it; all runs that a
  * closed minion may hold are of the tasks that the list names.
  *
+ * <p>A minion whose tasks have no place in the record stays open, so that the next owner takes any
+ * task for one that the minion may run until it answers or its lease has ended.
+ *
  * <p>This class is not thread-safe; it belongs to the scheduler's thread.
  */
 final class MinionRecord {
+    private static final Logger LOGGER = System.getLogger(MinionRecord.class.getName());
+
+    /** Most bytes of a record that the names of tasks on closed minions may take, half of it. */
+    private static final int MAX_TASK_BYTES = RecordCodec.MAX_VALUE_BYTES / 2;
+
+    /** Delay before a list that is too large is encoded again. */
+    private static final long ENCODE_RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     /** Time without an answer after which a minion is closed, several slow round trips. */
     private static final long CLOSE_AFTER_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -38,6 +54,7 @@
     private long mVersion;
     private Content mStored = new Content(Set.of(), Map.of());
     private long mStoredNanos;
+    private long mEncodeAgainNanos;
     private boolean mIsStoring;
 
     /**
@@ -78,6 +95,7 @@
      */
     void onLoaded(long version, long nowNanos) {
         mVersion = version;
+        mEncodeAgainNanos = nowNanos;
         Set<String> open = new HashSet<>();
         Map<String, Set<String>> closed = new HashMap<>();
         for (String id : mState.mMinions.keySet()) {
@@ -107,11 +125,22 @@
         if (isStored && !mState.mNeedsToken) {
             return;
         }
+        if (nowNanos - mEncodeAgainNanos < 0) {
+            return;
+        }
+        byte[] record;
+        try {
+            record = encode(content);
+        } catch (EndivetrayException e) {
+            // The minions that are recorded stay in use.
+            LOGGER.log(Level.ERROR, "minion: list not stored pool={0} reason={1}", mState.mPool, e);
+            mEncodeAgainNanos = nowNanos + ENCODE_RETRY_NANOS;
+            return;
+        }
         mState.mNeedsToken = false;
         mIsStoring = true;
         mStoredNanos = nowNanos;
         content.closed().keySet().forEach(id -> mState.mMinions.get(id).mIsRecorded = false);
-        byte[] record = encode(content);
         mWriter.add(
                 Change.rewrite(
                         JobKeys.minions(mState.mPool),
@@ -122,15 +151,24 @@
     }
 
     private byte[] encode(Content content) {
+        try {
+            return encode(content, UnaryOperator.identity());
+        } catch (EndivetrayException e) {
+            // Labels are read again from the registrations; a minion may have any number of them.
+            return encode(content, info -> info.withLabels(List.of()));
+        }
+    }
+
+    private byte[] encode(Content content, UnaryOperator<MinionInfo> form) {
         List<MinionInfo> open = new ArrayList<>();
         List<StoredMinions.Closed> closed = new ArrayList<>();
         for (MinionSession session : mState.mMinions.values()) {
             if (content.open().contains(session.id())) {
-                open.add(session.info());
+                open.add(form.apply(session.info()));
             } else {
                 closed.add(
                         new StoredMinions.Closed(
-                                session.info(), content.closed().get(session.id())));
+                                form.apply(session.info()), content.closed().get(session.id())));
             }
         }
         return new StoredMinions(open, closed).encode();
@@ -139,6 +177,7 @@
     private Content content(long nowNanos, boolean isHandingOver) {
         Set<String> open = new HashSet<>();
         Map<String, Set<String>> closed = new HashMap<>();
+        int bytes = 0;
         for (MinionSession session : mState.mMinions.values()) {
             boolean isClosed =
                     mStored.closed().containsKey(session.id()) && !session.mIsResponding
@@ -146,12 +185,20 @@
                             || isHandingOver && !session.isAnswering(nowNanos);
             Optional<Set<String>> tasks =
                     isClosed ? possibleTasks(session, nowNanos) : Optional.empty();
-            tasks.ifPresentOrElse(
-                    names -> closed.put(session.id(), names), () -> open.add(session.id()));
+            bytes += tasks.map(MinionRecord::encodedBytes).orElse(0);
+            if (tasks.isPresent() && bytes <= MAX_TASK_BYTES) {
+                closed.put(session.id(), tasks.get());
+            } else {
+                open.add(session.id());
+            }
         }
         return new Content(open, closed);
     }
 
+    private static int encodedBytes(Set<String> tasks) {
+        return tasks.stream().mapToInt(name -> ProgressPart.encodedBytes(name) + 3).sum();
+    }
+
     /** Returns the tasks that may have runs on a minion, empty if it may be any task. */
     private Optional<Set<String>> possibleTasks(MinionSession session, long nowNanos) {
         return mState.mInheritedRuns
--- a/model/src/main/java/org/endivetray/job/MinionInfo.java
+++ b/model/src/main/java/org/endivetray/job/MinionInfo.java
@@ -51,6 +51,22 @@
                 bornMillis);
     }
 
+    /** Returns a copy with other labels. */
+    public MinionInfo withLabels(List<String> others) {
+        return new MinionInfo(
+                id,
+                pool,
+                host,
+                port,
+                zone,
+                draining,
+                cpuMillis,
+                memoryMb,
+                gpus,
+                others,
+                bornMillis);
+    }
+
     /** Returns the name of its rack, empty if not known. */
     public String rack() {
         return labels.size() > 1 ? labels.get(1) : "";
