--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ProgressLoader.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ProgressLoader.java
@@ -81,9 +81,9 @@
     }
 
     private static StoredTask merge(StoredTask one, StoredTask other) {
-        Set<Integer> failedRuns = new HashSet<>(one.failedRuns());
-        failedRuns.addAll(other.failedRuns());
-        return new StoredTask(
+        Set<Integer> failedRuns = one.allFailedRuns();
+        failedRuns.addAll(other.allFailedRuns());
+        return StoredTask.of(
                 one.done() || other.done(),
                 failedRuns,
                 Math.max(one.run(), other.run()),
@@ -128,7 +128,7 @@
                             .map(StoredCheckpoint::checkpoint)
                             .orElse("");
         }
-        task.restore(stored.run(), stored.failedRuns(), checkpoint);
+        task.restore(stored.run(), stored.allFailedRuns(), checkpoint);
         if (stored.done()) {
             task.markDone();
         }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ProgressPart.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ProgressPart.java
@@ -77,7 +77,7 @@
             boolean isInline = !isDone && mayInline && isShort(task.mCheckpoint);
             tasks.put(
                     task.progressKey(),
-                    new StoredTask(
+                    StoredTask.of(
                             isDone,
                             task.mFailedRuns,
                             task.highestRun(),
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/GangTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/GangTest.java
@@ -117,7 +117,7 @@
     /** An owner of the earlier version has stored the end of one task only. */
     @Test
     void aGangOfWhichOneTaskIsStoredAsDoneIsDone() {
-        store(new StoredTask(true, Set.of(), 1, ""), new StoredTask(false, Set.of(1), 1, ""));
+        store(StoredTask.of(true, Set.of(), 1, ""), StoredTask.of(false, Set.of(1), 1, ""));
         Shard shard = mHarness.startWith("m1", "m2");
         mHarness.run(1_000, shard);
         assertThat(stateAt(shard)).isEqualTo(JobState.COMPLETED);
@@ -126,7 +126,7 @@
 
     @Test
     void aGangThatHasFailedAsOftenAsTheQueueAllowsIsNotStartedAgainByANewOwner() {
-        store(new StoredTask(false, Set.of(1), 1, ""), new StoredTask(false, Set.of(2), 2, ""));
+        store(StoredTask.of(false, Set.of(1), 1, ""), StoredTask.of(false, Set.of(2), 2, ""));
         Shard shard = mHarness.startWith("m1", "m2");
         mHarness.run(1_000, shard);
         assertThat(stateAt(shard)).isEqualTo(JobState.FAILED);
@@ -163,7 +163,7 @@
 
     @Test
     void aNewOwnerStartsAllTasksOfAGangFromOneCheckpointAndUnderOneRun() {
-        store(new StoredTask(false, Set.of(), 1, ""), new StoredTask(false, Set.of(1), 3, "saved"));
+        store(StoredTask.of(false, Set.of(), 1, ""), StoredTask.of(false, Set.of(1), 3, "saved"));
         Shard shard = mHarness.startWith("m1", "m2");
         mHarness.run(200, shard);
         assertThat(mHarness.mMinions.mStartOrders)
