--- a/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/JobDaemon.java
@@ -101,6 +101,7 @@
     private final SiteHttpServer mHttpServer;
     private final PeerServer mPeerServer;
     private final MetricsServer mMetricsServer;
+    private final ErrorBoundary mBoundary;
 
     /**
      * Constructs a daemon that has not been started.
@@ -153,6 +154,7 @@
                         new PeerMessageHandler(mRouter, pools, new StoreCallHandler(mStore)),
                         settings.intake(),
                         new IntakeLog("inner", metrics::onRefusedBeforeReceipt)::onRefused);
+        mBoundary = new ErrorBoundary(mExecutor, metrics, settings.name());
         mMetricsServer = new MetricsServer(mVertx, metrics, settings.intake());
         mOwnership =
                 new OwnershipManager(
@@ -315,11 +317,11 @@
     private void tick() {
         long now = System.nanoTime();
         if (mOwners.view().revision() > 0) {
-            mOwnership.tick(now);
+            mBoundary.run("ownership", () -> mOwnership.tick(now));
         }
-        mMinions.ensureRunning();
-        mShards.tick(now);
-        mFleet.tick(now);
+        mBoundary.run("registrations", mMinions::ensureRunning);
+        mBoundary.run("shards", () -> mShards.tick(now));
+        mBoundary.run("fleet", () -> mFleet.tick(now));
         boolean canServe = mSite.config() != null && mOwners.view().revision() > 0;
         mRouter.setReady(canServe);
     }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.endivetray.daemon.job.ErrorBoundary;
 import org.endivetray.policy.job.DurationModel;
 import org.endivetray.policy.job.LatencyObjective;
 import org.endivetray.policy.job.StepRank;
@@ -22,6 +23,7 @@
     private final DurationModel mDurations;
     private final MinionSelector mMinions;
     private final AccountRoom mRoom;
+    private final ErrorBoundary mBoundary;
     private final AccountDispatcher mAccounts;
 
     Dispatcher(
@@ -29,13 +31,15 @@
             ShardState state,
             TaskLifecycle lifecycle,
             DurationModel durations,
-            AccountRoom room) {
+            AccountRoom room,
+            ErrorBoundary boundary) {
         mContext = context;
         mState = state;
         mLifecycle = lifecycle;
         mDurations = durations;
         mMinions = new MinionSelector(context, state, durations);
         mRoom = room;
+        mBoundary = boundary;
         mAccounts = new AccountDispatcher(context, state, durations);
     }
 
@@ -44,16 +48,16 @@
         long nowMillis = mContext.executor().currentTimeMillis();
         List<Candidate> candidates = new ArrayList<>();
         for (JobEntry job : mState.mActiveJobs.values()) {
-            collect(job, nowNanos, nowMillis, candidates);
+            mBoundary.run("rank", () -> collect(job, nowNanos, nowMillis, candidates));
         }
         mRoom.count(nowNanos);
         mMinions.beginPass();
         if (mContext.accounts().get().isEnforced()) {
             mAccounts.run(
-                    candidates, (step, maxTasks) -> place(step, maxTasks, nowNanos), nowNanos);
+                    candidates, (step, maxTasks) -> tryPlace(step, maxTasks, nowNanos), nowNanos);
         } else {
             candidates.sort(Comparator.comparing(Candidate::rank));
-            candidates.forEach(each -> place(each.step(), Integer.MAX_VALUE, nowNanos));
+            candidates.forEach(each -> tryPlace(each.step(), Integer.MAX_VALUE, nowNanos));
         }
         mRoom.onDispatched(nowNanos);
         int waiting = candidates.stream().mapToInt(each -> each.step().mWaitingCount).sum();
@@ -122,8 +126,13 @@
 
     /**
      * Starts the tasks of a step that can be started, up to a number unless they are a gang, and
-     * returns how many remain waiting.
+     * returns how many remain waiting. An unexpected error does not keep other steps from starting.
      */
+    private int tryPlace(StepEntry step, int maxTasks, long nowNanos) {
+        Integer waiting = mBoundary.call("place", () -> place(step, maxTasks, nowNanos), null);
+        return waiting == null ? step.mWaitingCount : waiting;
+    }
+
     private int place(StepEntry step, int maxTasks, long nowNanos) {
         if (step.mSpec.gang()) {
             return placeGang(step, nowNanos);
@@ -181,19 +190,22 @@
         List<MinionSession> chosen = new ArrayList<>();
         int run = 0;
         String checkpoint = "";
-        for (TaskEntry task : waiting) {
-            MinionSession minion = mMinions.choose(step, nowNanos);
-            if (minion == null) {
-                break;
+        try {
+            for (TaskEntry task : waiting) {
+                MinionSession minion = mMinions.choose(step, nowNanos);
+                if (minion == null) {
+                    break;
+                }
+                // Reserves the resources until all minions are chosen, so that none count twice.
+                minion.assign(task);
+                chosen.add(minion);
+                run = Math.max(run, task.mRun);
+                checkpoint = checkpoint.isEmpty() ? task.mCheckpoint : checkpoint;
+            }
+        } finally {
+            for (int i = 0; i < chosen.size(); i++) {
+                chosen.get(i).release(waiting.get(i));
             }
-            // Reserves the resources until all minions are chosen, so that none are counted twice.
-            minion.assign(task);
-            chosen.add(minion);
-            run = Math.max(run, task.mRun);
-            checkpoint = checkpoint.isEmpty() ? task.mCheckpoint : checkpoint;
-        }
-        for (int i = 0; i < chosen.size(); i++) {
-            chosen.get(i).release(waiting.get(i));
         }
         if (chosen.size() < waiting.size()) {
             return step.mWaitingCount;
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Shard.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.endivetray.daemon.job.ErrorBoundary;
 import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobSpec;
 import org.endivetray.job.MinionInfo;
@@ -51,6 +52,7 @@
     private final ShardState mState;
     private final BatchWriter mWriter;
     private final TaskLifecycle mLifecycle;
+    private final ErrorBoundary mBoundary;
     private final MinionRecord mMinionRecord;
     private final QueueRecord mQueueRecord;
     private final MinionMonitor mMonitor;
@@ -65,7 +67,7 @@
     private final MinionDrainer mDrainer;
     private final StallDetector mStallDetector;
     private final Consumer<Shard> mOnLost;
-    private Phase mPhase = Phase.LOADING;
+    private ShardPhase mPhase = ShardPhase.LOADING;
     private List<MinionInfo> mRegistrations = List.of();
     private long mLoadedNanos;
     private long mReloadAtNanos;
@@ -74,14 +76,6 @@
     private boolean mIsLoading;
     private boolean mIsHandingOver;
 
-    /** The stages of a shard, in the order in which it passes through them. */
-    private enum Phase {
-        LOADING,
-        ADOPTING,
-        ACTIVE,
-        LOST
-    }
-
     /**
      * Constructs a shard whose stored state has not been loaded yet.
      *
@@ -108,7 +102,8 @@
         mQueueRecord = new QueueRecord(mState, mWriter);
         mMonitor = new MinionMonitor(context, mState, mWriter, mLifecycle, onFenced);
         mRoom = new AccountRoom(context, mState, owner);
-        mDispatcher = new Dispatcher(context, mState, mLifecycle, durations, mRoom);
+        mBoundary = new ErrorBoundary(context.executor(), context.metrics(), pool);
+        mDispatcher = new Dispatcher(context, mState, mLifecycle, durations, mRoom, mBoundary);
         mLoadMeter = new PoolLoadMeter(context, mState);
         mLoader = new OccurrenceLoader(mState, context.memory());
         mCancellations =
@@ -144,12 +139,12 @@
 
     /** Returns whether the shard was lost or handed over. */
     public boolean isLost() {
-        return mPhase == Phase.LOST;
+        return mPhase == ShardPhase.LOST;
     }
 
     /** Returns whether the stored state has been loaded and the shard has not been lost. */
     public boolean isLoaded() {
-        return mPhase == Phase.ADOPTING || mPhase == Phase.ACTIVE;
+        return mPhase == ShardPhase.ADOPTING || mPhase == ShardPhase.ACTIVE;
     }
 
     /** Stops accepting changes and starting tasks, so that the shard can be handed over. */
@@ -177,7 +172,7 @@
      * @param reason why, for the log, not null
      */
     public void markLost(String reason) {
-        if (mPhase == Phase.LOST) {
+        if (mPhase == ShardPhase.LOST) {
             return;
         }
         LOGGER.log(
@@ -186,7 +181,7 @@
                 pool(),
                 Long.toString(token()),
                 reason);
-        mPhase = Phase.LOST;
+        mPhase = ShardPhase.LOST;
         mRequestHandler.onShardLost();
         mRoom.stop();
         mState.markLost();
@@ -203,46 +198,54 @@
 
     /**
      * Loads the stored state or, once it is loaded, monitors the minions, dispatches tasks and
-     * writes changes to the store, each when due.
+     * writes changes to the store, each when due, also if another one of these fails.
      *
      * @param nowNanos time of the monotonic clock, in nanoseconds
      */
     public void tick(long nowNanos) {
-        if (mPhase == Phase.LOST) {
+        if (mPhase == ShardPhase.LOST) {
             return;
         }
-        if (mPhase == Phase.LOADING) {
+        if (mPhase == ShardPhase.LOADING) {
             load(nowNanos);
             return;
         }
-        mMonitor.tick(nowNanos);
-        mMinionRecord.store(nowNanos, mIsHandingOver);
-        mQueueRecord.store();
-        mInboxMark.tick(nowNanos);
-        mDrainer.tick(nowNanos);
-        mStallDetector.tick(nowNanos);
+        mBoundary.run("minions", () -> mMonitor.tick(nowNanos));
+        mBoundary.run("minion list", () -> mMinionRecord.store(nowNanos, mIsHandingOver));
+        mBoundary.run("queue names", mQueueRecord::store);
+        mBoundary.run("inbox", () -> mInboxMark.tick(nowNanos));
+        mBoundary.run("drains", () -> mDrainer.tick(nowNanos));
+        mBoundary.run("stalls", () -> mStallDetector.tick(nowNanos));
         adopt(nowNanos);
+        mBoundary.run("dispatch", () -> dispatch(nowNanos));
+        mBoundary.run("purge", () -> purge(nowNanos));
+        mBoundary.run("cancellations", () -> mCancellations.tick(nowNanos));
+        mBoundary.run("room", () -> mRoom.tick(nowNanos));
+        if (mPhase != ShardPhase.LOST) {
+            mWriter.flush(nowNanos);
+        }
+    }
+
+    private void dispatch(long nowNanos) {
         boolean isDue =
                 mState.mNeedsDispatch || nowNanos - mDispatchedNanos >= DISPATCH_INTERVAL_NANOS;
         if (isDue) {
             mLoader.loadDue(mContext.executor().currentTimeMillis());
         }
         boolean mayStart = !mIsHandingOver && mContext.mayAct().getAsBoolean();
-        if (mPhase == Phase.ACTIVE && isDue && mayStart) {
+        if (mPhase == ShardPhase.ACTIVE && isDue && mayStart) {
             mState.mNeedsDispatch = false;
             mDispatchedNanos = nowNanos;
             mDispatcher.run(nowNanos);
             mContext.metrics().onMemoryUse(mContext.memory().current());
         }
+    }
+
+    private void purge(long nowNanos) {
         if (nowNanos - mPurgedNanos >= PURGE_INTERVAL_NANOS) {
             mPurgedNanos = nowNanos;
             mRequestHandler.purge(mContext.limits().retentionMillis());
         }
-        mCancellations.tick(nowNanos);
-        mRoom.tick(nowNanos);
-        if (mPhase != Phase.LOST) {
-            mWriter.flush(nowNanos);
-        }
     }
 
     private void load(long nowNanos) {
@@ -255,7 +258,7 @@
 
     private void onLoaded(ShardLoader.LoadedShard loaded, Throwable cause) {
         mIsLoading = false;
-        if (mPhase != Phase.LOADING) {
+        if (mPhase != ShardPhase.LOADING) {
             return;
         }
         long now = mContext.executor().nanoTime();
@@ -271,7 +274,7 @@
         mMinionRecord.onLoaded(loaded.minions().version(), now);
         mInboxMark.onLoaded(loaded.inboxMark());
         mQueueRecord.onLoaded(loaded.queues(), mContext.executor().currentTimeMillis());
-        mPhase = Phase.ADOPTING;
+        mPhase = ShardPhase.ADOPTING;
         mLoadedNanos = now;
         mPurgedNanos = now;
         LOGGER.log(
@@ -292,12 +295,12 @@
     }
 
     private void adopt(long nowNanos) {
-        if (mPhase != Phase.ADOPTING) {
+        if (mPhase != ShardPhase.ADOPTING) {
             return;
         }
         if (mState.mInheritedRuns.isReconciled()
                 || nowNanos - mLoadedNanos >= ADOPT_TIMEOUT_NANOS) {
-            mPhase = Phase.ACTIVE;
+            mPhase = ShardPhase.ACTIVE;
             mState.mNeedsDispatch = true;
             LOGGER.log(
                     Level.INFO,
@@ -359,7 +362,7 @@
         }
         Promise<JobAnswer> answer = Promise.promise();
         mRequestHandler.cancel(id, answer);
-        if (mPhase != Phase.LOST) {
+        if (mPhase != ShardPhase.LOST) {
             mWriter.flush(mContext.executor().nanoTime());
         }
         return answer.future();
--- a/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
+++ b/daemon/src/main/java/org/endivetray/daemon/observe/JobMetrics.java
@@ -39,6 +39,11 @@
             counter("endivetray_task_starts", "Start orders by outcome.", "pool", "outcome");
     private final Counter mEnds =
             counter("endivetray_task_ends", "Ended runs by kind of end.", "pool", "end");
+    private final Counter mUnexpectedErrors =
+            counter(
+                    "endivetray_unexpected_errors",
+                    "Parts of a pass that ended with an unexpected error.",
+                    "part");
     private final Counter mTakeovers =
             counter("endivetray_shard_takeovers", "Shards taken over by this daemon.", "pool");
     private final Counter mQuotaCommits =
@@ -185,6 +190,11 @@
         mTakeovers.labelValues(pool).inc();
     }
 
+    /** Records an unexpected error in a part of a pass. */
+    public void onUnexpectedError(String part) {
+        mUnexpectedErrors.labelValues(part).inc();
+    }
+
     /** Records the number of tasks that wait for capacity. */
     public void onWaitingTasks(String pool, int tasks) {
         mWaiting.labelValues(pool).set(tasks);
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
@@ -15,6 +15,7 @@
 import org.endivetray.job.MinionInfo;
 import org.endivetray.job.QueueConfig;
 import org.endivetray.job.StepSpec;
+import org.endivetray.platform.PlacementAdvisor;
 import org.endivetray.platform.SharedStore.Condition;
 import org.endivetray.policy.job.DurationModel;
 import org.endivetray.policy.job.FarFactor;
@@ -43,6 +44,9 @@
     /** Multiple of its duration that a task takes away from its data, 0 if it is learnt. */
     double mFarFactor;
 
+    /** The placement advisor, null if there is none. */
+    PlacementAdvisor mAdvisor;
+
     /** The client accounts of the configuration in force. */
     ClientAccounts mAccounts = ClientAccounts.NONE;
 
@@ -73,7 +77,7 @@
         return new ShardContext(
                 mStore,
                 mMinions,
-                null,
+                mAdvisor,
                 mExecutor,
                 mMemory,
                 () -> mMayAct,
