--- a/daemon/src/main/java/org/endivetray/daemon/job/routing/StoreFallback.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/routing/StoreFallback.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.IntStream;
+import org.endivetray.EndivetrayException;
 import org.endivetray.daemon.job.record.JobKeys;
 import org.endivetray.daemon.job.record.StoredJob;
 import org.endivetray.daemon.job.record.StoredLocation;
@@ -41,12 +42,19 @@
 
     /**
      * Stores a job in the inbox of the pool's owner, unless it is stored already. The inbox is
-     * marked in the same commit, so that the pool gets an owner whatever the configuration says.
+     * marked in the same commit, so that the pool gets an owner whatever the configuration says. A
+     * job that is too large to be stored is refused for good, as its owner does.
      */
     Future<JobAnswer> submit(QueueConfig queue, String account, String id, JobSpec spec) {
         String key = JobKeys.inboxJobs(queue.pool()) + id;
         StoredJob stored =
                 new StoredJob(queue.pool(), queue, spec, System.currentTimeMillis(), account);
+        byte[] record;
+        try {
+            record = stored.encode();
+        } catch (EndivetrayException e) {
+            return Future.succeededFuture(JobAnswer.malformed(e.getMessage()));
+        }
         Commit commit =
                 new Commit(
                         List.of(
@@ -54,7 +62,7 @@
                                 new Condition(JobKeys.jobs(queue.pool()) + id, SharedStore.ABSENT),
                                 new Condition(JobKeys.location(id), SharedStore.ABSENT)),
                         List.of(
-                                new Write(key, stored.encode(), SharedStore.NO_LEASE),
+                                new Write(key, record, SharedStore.NO_LEASE),
                                 StoredLocation.write(id, queue.pool()),
                                 new Write(
                                         JobKeys.INBOX_PREFIX + queue.pool(),
