--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobProgress.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobProgress.java
@@ -12,6 +12,7 @@
 import org.endivetray.daemon.job.record.StoredProgress;
 import org.endivetray.daemon.job.record.StoredTasks;
 import org.endivetray.job.JobState;
+import org.endivetray.platform.SharedStore;
 
 /**
  * Divides the progress of a job into records that each fit into a stored value.
@@ -30,16 +31,22 @@
     private static final Logger LOGGER = System.getLogger(JobProgress.class.getName());
 
     private final JobEntry mJob;
-    private final List<ProgressPart> mParts = new ArrayList<>(List.of(new ProgressPart(0)));
+    private final ProgressPart mFirst = new ProgressPart(0);
 
-    /** The occurrences that are done according to the stored record of the job. */
-    private BitSet mStoredDone = new BitSet();
+    /** The further parts, in the order of their numbers; created with the first of them. */
+    private List<ProgressPart> mFurther = List.of();
 
-    /** Versions of the records of long checkpoints, by the progress key of their task. */
-    private final Map<String, Long> mCheckpointVersions = new HashMap<>();
+    /** The occurrences that are done according to the stored record of the job, null for none. */
+    private BitSet mStoredDone;
 
-    /** Tasks whose long checkpoint has changed since its storing was queued. */
-    private final Set<TaskEntry> mLongCheckpoints = new LinkedHashSet<>();
+    /**
+     * Versions of the records of long checkpoints, by the progress key of their task; created with
+     * the first of them.
+     */
+    private Map<String, Long> mCheckpointVersions = Map.of();
+
+    /** Tasks whose long checkpoint has changed since its storing was queued; created as above. */
+    private Set<TaskEntry> mLongCheckpoints = Set.of();
 
     /** The state that was encoded last. */
     private JobState mEncodedState = JobState.QUEUED;
@@ -53,16 +60,19 @@
 
     /** Returns the part that is in the record of the job. */
     ProgressPart first() {
-        return mParts.get(0);
+        return mFirst;
     }
 
     /** Returns the parts with records of their own. */
     List<ProgressPart> further() {
-        return mParts.subList(1, mParts.size());
+        return mFurther;
     }
 
-    /** Records that the progress of a task has changed. */
+    /** Records that the progress of a task has changed; that of an ended job is not stored. */
     void onChanged(TaskEntry task) {
+        if (mJob.mState.isFinal()) {
+            return;
+        }
         if (task.mPart == null) {
             task.mPart = partWithRoom();
             task.mPart.add(task);
@@ -73,13 +83,17 @@
     /** Records that the checkpoint of a task has changed. */
     void onCheckpoint(TaskEntry task) {
         onChanged(task);
+        if (task.mPart == null) {
+            return;
+        }
         int bytes = ProgressPart.encodedBytes(task.mCheckpoint);
-        if (!task.mPart.needsOwnRecord(task)) {
-            mLongCheckpoints.remove(task);
-        } else if (bytes <= ProgressPart.MAX_LONG_CHECKPOINT_BYTES) {
-            mLongCheckpoints.add(task);
-        } else {
+        boolean isTooLong = bytes > ProgressPart.MAX_LONG_CHECKPOINT_BYTES;
+        if (task.mPart.needsOwnRecord(task) && !isTooLong) {
+            addLongCheckpoint(task);
+        } else if (mLongCheckpoints.contains(task)) {
             mLongCheckpoints.remove(task);
+        }
+        if (isTooLong) {
             LOGGER.log(
                     Level.WARNING,
                     "job: checkpoint not stored, larger than the store accepts task={0} bytes={1}",
@@ -88,17 +102,26 @@
         }
     }
 
+    private void addLongCheckpoint(TaskEntry task) {
+        if (mLongCheckpoints.isEmpty()) {
+            mLongCheckpoints = new LinkedHashSet<>();
+        }
+        mLongCheckpoints.add(task);
+    }
+
     private ProgressPart partWithRoom() {
-        if (!first().hasRoom()) {
-            first().removeIf(task -> !isLoaded(task));
+        if (!mFirst.hasRoom()) {
+            mFirst.removeIf(task -> !isLoaded(task));
+        }
+        if (mFirst.hasRoom()) {
+            return mFirst;
         }
-        for (ProgressPart part : mParts) {
+        for (ProgressPart part : mFurther) {
             if (part.hasRoom()) {
                 return part;
             }
         }
-        mParts.add(new ProgressPart(mParts.size()));
-        return mParts.get(mParts.size() - 1);
+        return part(mFurther.size() + 1);
     }
 
     private boolean isLoaded(TaskEntry task) {
@@ -108,7 +131,7 @@
 
     /** Returns whether the record of the job has changed since it was encoded last. */
     boolean isRecordChanged() {
-        return first().mIsChanged
+        return mFirst.mIsChanged
                 || mEncodedState != mJob.mState
                 || mEncodedDone != mJob.doneOccurrences().cardinality();
     }
@@ -118,17 +141,15 @@
         BitSet done = mJob.doneOccurrences();
         mEncodedState = mJob.mState;
         mEncodedDone = done.cardinality();
-        first().removeIf(task -> !isLoaded(task));
-        var tasks = first().encode();
+        mFirst.removeIf(task -> !isLoaded(task));
+        if (mJob.mState.isFinal()) {
+            mFirst.clear();
+        }
+        var tasks = mFirst.encode();
         int firstNotDone = done.nextClearBit(0);
         List<Integer> doneLater =
                 done.stream().filter(number -> number > firstNotDone).boxed().toList();
-        return new StoredProgress(
-                mJob.mState,
-                mJob.mEndedMillis,
-                mJob.mState.isFinal() ? Map.of() : tasks,
-                firstNotDone,
-                doneLater);
+        return new StoredProgress(mJob.mState, mJob.mEndedMillis, tasks, firstNotDone, doneLater);
     }
 
     /**
@@ -142,24 +163,33 @@
 
     /** Returns the record of a further part. */
     StoredTasks encode(ProgressPart part) {
-        part.removeIf(task -> mStoredDone.get(task.mStep.mOccurrence.mNumber));
+        part.removeIf(
+                task -> mStoredDone != null && mStoredDone.get(task.mStep.mOccurrence.mNumber));
         return new StoredTasks(part.encode());
     }
 
     /** Returns the tasks whose long checkpoint is to be stored, and forgets them. */
     List<TaskEntry> takeLongCheckpoints() {
         List<TaskEntry> tasks = List.copyOf(mLongCheckpoints);
-        mLongCheckpoints.clear();
+        mLongCheckpoints = Set.of();
         return tasks;
     }
 
     /** Returns the last known version of the record of a long checkpoint. */
     long checkpointVersion(String progressKey) {
-        return mCheckpointVersions.computeIfAbsent(progressKey, key -> 0L);
+        Long version = mCheckpointVersions.get(progressKey);
+        if (version == null) {
+            onCheckpointStored(progressKey, SharedStore.ABSENT);
+            return SharedStore.ABSENT;
+        }
+        return version;
     }
 
     /** Records the version of the record of a long checkpoint. */
     void onCheckpointStored(String progressKey, long version) {
+        if (mCheckpointVersions.isEmpty()) {
+            mCheckpointVersions = new HashMap<>();
+        }
         mCheckpointVersions.put(progressKey, version);
     }
 
@@ -168,10 +198,10 @@
      */
     List<String> takeFurtherRecords() {
         List<String> names = new ArrayList<>(mCheckpointVersions.keySet());
-        further().forEach(part -> names.add(Integer.toString(part.mNumber)));
-        mCheckpointVersions.clear();
-        mLongCheckpoints.clear();
-        further().clear();
+        mFurther.forEach(part -> names.add(Integer.toString(part.mNumber)));
+        mCheckpointVersions = Map.of();
+        mLongCheckpoints = Set.of();
+        mFurther = List.of();
         return names;
     }
 
@@ -200,19 +230,29 @@
      * record of more tasks than a part has get records of their own.
      */
     void onAllLoaded() {
-        for (ProgressPart part : mParts) {
-            part.mIsChanged = false;
-            part.tasks().stream()
-                    .filter(part::needsOwnRecord)
-                    .filter(task -> !mCheckpointVersions.containsKey(task.progressKey()))
-                    .forEach(mLongCheckpoints::add);
-        }
+        onAllLoaded(mFirst);
+        mFurther.forEach(this::onAllLoaded);
+    }
+
+    private void onAllLoaded(ProgressPart part) {
+        part.mIsChanged = false;
+        part.tasks().stream()
+                .filter(part::needsOwnRecord)
+                .filter(task -> !mCheckpointVersions.containsKey(task.progressKey()))
+                .forEach(this::addLongCheckpoint);
     }
 
+    /** Returns the part with a number, with those before it if it does not exist yet. */
     private ProgressPart part(int number) {
-        while (mParts.size() <= number) {
-            mParts.add(new ProgressPart(mParts.size()));
+        if (number == 0) {
+            return mFirst;
+        }
+        if (mFurther.isEmpty()) {
+            mFurther = new ArrayList<>();
+        }
+        while (mFurther.size() < number) {
+            mFurther.add(new ProgressPart(mFurther.size() + 1));
         }
-        return mParts.get(number);
+        return mFurther.get(number - 1);
     }
 }
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/ProgressPart.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/ProgressPart.java
@@ -43,7 +43,8 @@
     /** Whether a change is queued that has not been encoded yet. */
     boolean mIsQueued;
 
-    private final Set<TaskEntry> mTasks = new LinkedHashSet<>();
+    /** Created with the first task, since many jobs wait without progress. */
+    private Set<TaskEntry> mTasks = Set.of();
 
     ProgressPart(int number) {
         mNumber = number;
@@ -54,11 +55,20 @@
     }
 
     void add(TaskEntry task) {
+        if (mTasks.isEmpty()) {
+            mTasks = new LinkedHashSet<>();
+        }
         mTasks.add(task);
     }
 
     void removeIf(Predicate<TaskEntry> condition) {
-        mTasks.removeIf(condition);
+        if (!mTasks.isEmpty()) {
+            mTasks.removeIf(condition);
+        }
+    }
+
+    void clear() {
+        mTasks = Set.of();
     }
 
     /** Returns the tasks of the part. */
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ScheduledJobsTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ScheduledJobsTest.java
@@ -13,6 +13,7 @@
 import org.endivetray.job.JobSpec;
 import org.endivetray.job.JobState;
 import org.endivetray.job.StepSpec;
+import org.endivetray.job.TaskEnd;
 import org.endivetray.policy.job.MemoryLimit;
 import org.junit.jupiter.api.Test;
 
@@ -161,6 +162,24 @@
         assertThat(usedHeapBytes() - before).isLessThan(HEAP_BYTES / 10);
     }
 
+    /** As above, for jobs that have progress when they are cancelled. */
+    @Test
+    void cancelledJobsWithProgressTakeLessThanATenthOfTheHeap() {
+        mHarness.mMinions.mBehaviour =
+                (task, run) -> new VirtualMinions.Outcome(50, TaskEnd.STOPPED);
+        mHarness.mMinions.mCheckpoint = task -> "saved";
+        Shard shard = mHarness.startWith("m1");
+        long before = usedHeapBytes();
+        for (int number = 1; number <= 20; number++) {
+            mHarness.submit(shard, number, ShardHarness.step(10_000));
+            mHarness.run(400, shard);
+            shard.cancel(ShardHarness.id(number));
+            mHarness.run(400, shard);
+            assertThat(stateOf(shard, number)).isEqualTo(JobState.CANCELED);
+        }
+        assertThat(usedHeapBytes() - before).isLessThan(HEAP_BYTES / 10);
+    }
+
     /** Guards against a refusal of a job that is stored by an earlier attempt later on. */
     @Test
     void aJobWhoseEarlierAttemptMayHaveBeenStoredIsNotRefusedForLackOfMemory() {
