--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/Dispatcher.java
@@ -217,7 +217,7 @@
         for (int i = 0; i < chosen.size(); i++) {
             TaskEntry task = waiting.get(i);
             task.mRun = run;
-            task.saveCheckpoint(checkpoint);
+            task.setCheckpoint(checkpoint);
             start(task, chosen.get(i), nowNanos);
         }
         return 0;
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/JobProgress.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/JobProgress.java
@@ -80,7 +80,7 @@
         task.mPart.mIsChanged = true;
     }
 
-    /** Records that the checkpoint of a task has changed. */
+    /** Records that the checkpoint of a task has changed, and is to be stored if it is long. */
     void onCheckpoint(TaskEntry task) {
         onChanged(task);
         if (task.mPart == null) {
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/RunReconciler.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/RunReconciler.java
@@ -114,7 +114,7 @@
         task.mSharePercent = running.percent();
         task.mLoad = running.load();
         if (!running.checkpoint().isEmpty()) {
-            task.saveCheckpoint(running.checkpoint());
+            task.setCheckpoint(running.checkpoint());
         }
     }
 
--- a/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskEntry.java
+++ b/daemon/src/main/java/org/endivetray/daemon/job/shard/TaskEntry.java
@@ -160,14 +160,23 @@
         return isNew;
     }
 
-    /** Records a checkpoint, which replaces the last one. */
-    void saveCheckpoint(String checkpoint) {
+    /**
+     * Sets the checkpoint that a run has saved last, while it goes on. A long one is stored only
+     * once the run has ended, since its record is not shared with other tasks.
+     */
+    void setCheckpoint(String checkpoint) {
         if (!mCheckpoint.equals(checkpoint)) {
             mCheckpoint = checkpoint;
-            mStep.mJob.mProgress.onCheckpoint(this);
+            mStep.mJob.mProgress.onChanged(this);
         }
     }
 
+    /** Sets the checkpoint of a run that has ended, from which the next one starts. */
+    void saveCheckpoint(String checkpoint) {
+        mCheckpoint = checkpoint;
+        mStep.mJob.mProgress.onCheckpoint(this);
+    }
+
     /** Restores the stored progress of a task that is not done. */
     void restore(int run, Set<Integer> failedRuns, String checkpoint) {
         mRun = run;
