--- a/policy/src/main/java/org/endivetray/policy/job/LatencyObjective.java
+++ b/policy/src/main/java/org/endivetray/policy/job/LatencyObjective.java
@@ -3,7 +3,8 @@
 /**
  * Computes how long a step can still wait and meet the latency objective of its job.
  *
- * <p>Operators and callers set the parts of the objective, so any number may come in.
+ * <p>Pattern of load: jobs whose callers or operators set a number at the end of its range, such as
+ * a target latency that stands for none, beside ordinary jobs that must keep their order.
  *
  * <p>Invariants: a result is within {@link #MAX_SLACK_MILLIS} of zero, so that durations can be
  * added to it and subtracted from it without an overflow.
