--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ExtremeValuesTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ExtremeValuesTest.java
@@ -6,7 +6,6 @@
 import org.endivetray.job.JobSpec;
 import org.endivetray.job.JobState;
 import org.endivetray.job.QueueConfig;
-import org.endivetray.job.StepSpec;
 import org.endivetray.job.TaskEnd;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -30,28 +29,6 @@
                 "odd", "h", "/o/", ShardHarness.POOL, 0, 2, stretch, targetLatencyMillis, false);
     }
 
-    private static StepSpec step(long estimateMillis, boolean sameRack) {
-        return new StepSpec(
-                2,
-                1_000,
-                100,
-                0,
-                estimateMillis,
-                List.of(),
-                false,
-                false,
-                sameRack,
-                "",
-                "",
-                0,
-                false,
-                false,
-                "",
-                0,
-                false,
-                -1);
-    }
-
     private Shard start() {
         mHarness.mFarFactor = 4;
         mHarness.mMinions.mBehaviour =
@@ -75,8 +52,8 @@
     }
 
     private void assertOrdinaryJobsAreDone(Shard shard) {
-        mHarness.submit(shard, ORDINARY, step(500, true));
-        mHarness.submit(shard, ORDINARY + 1, step(500, false));
+        mHarness.submit(shard, ORDINARY, ShardHarness.twoTasks(500, true));
+        mHarness.submit(shard, ORDINARY + 1, ShardHarness.twoTasks(500, false));
         mHarness.run(DONE_MILLIS, shard);
         assertThat(state(shard, ORDINARY)).isEqualTo(JobState.COMPLETED);
         assertThat(state(shard, ORDINARY + 1)).isEqualTo(JobState.COMPLETED);
@@ -90,7 +67,7 @@
     @ValueSource(longs = {Long.MAX_VALUE, Long.MAX_VALUE / 2 + 1, 1L << 61, 0, -1, Long.MIN_VALUE})
     void tasksOfOneRackStartBesideATaskOfAnyDeclaredDuration(long estimateMillis) {
         Shard shard = start();
-        submitOdd(shard, ODD_QUEUE, ShardHarness.job(step(estimateMillis, false)));
+        submitOdd(shard, ODD_QUEUE, ShardHarness.job(ShardHarness.twoTasks(estimateMillis, false)));
         assertThat(state(shard, ODD)).isEqualTo(JobState.RUNNING);
         assertOrdinaryJobsAreDone(shard);
     }
@@ -110,7 +87,7 @@
         submitOdd(
                 shard,
                 queue(stretch, targetLatencyMillis),
-                ShardHarness.job(step(estimateMillis, true)));
+                ShardHarness.job(ShardHarness.twoTasks(estimateMillis, true)));
         assertThat(state(shard, ODD)).isEqualTo(JobState.RUNNING);
         assertOrdinaryJobsAreDone(shard);
     }
@@ -127,7 +104,12 @@
     void onlyOccurrencesThatAreDueStart(long firstMillis, long intervalMillis, int expected) {
         Shard shard = start();
         JobSpec spec =
-                new JobSpec("payload", List.of(step(500, false)), 4, firstMillis, intervalMillis);
+                new JobSpec(
+                        "payload",
+                        List.of(ShardHarness.twoTasks(500, false)),
+                        4,
+                        firstMillis,
+                        intervalMillis);
         submitOdd(shard, ODD_QUEUE, spec);
         assertThat(
                         mHarness.mMinions.mStarts.stream()
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/LargeJobTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/LargeJobTest.java
@@ -34,12 +34,6 @@
 
     private final ShardHarness mHarness = new ShardHarness();
 
-    private static StepSpec smallTasks() {
-        return new StepSpec(
-                TASKS, 10, 1, 0, 100, List.of(), false, false, false, "", "", 0, false, false, "",
-                0, false, -1);
-    }
-
     /**
      * Guards against an owner that is kept from renewing its lease, since it encodes and writes the
      * whole progress of a job again for each few of its ends.
@@ -51,7 +45,7 @@
                         new VirtualMinions.Outcome(
                                 100 + Math.floorMod(task.hashCode(), 5_000), TaskEnd.DONE);
         Shard shard = mHarness.startWith("m1", "m2", "m3", "m4");
-        Future<JobAnswer> answer = mHarness.submit(shard, 1, smallTasks());
+        Future<JobAnswer> answer = mHarness.submit(shard, 1, ShardHarness.smallTasks(TASKS, false));
         String key = JobKeys.progress(ShardHarness.POOL) + ShardHarness.id(1);
         long bytes = 0;
         long largest = 0;
@@ -87,25 +81,7 @@
     }
 
     private static StepSpec mostTasks() {
-        return new StepSpec(
-                JobSpec.MAX_TASKS,
-                10,
-                1,
-                0,
-                100,
-                List.of(),
-                true,
-                false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                false,
-                "",
-                0,
-                false,
-                -1);
+        return ShardHarness.smallTasks(JobSpec.MAX_TASKS, true);
     }
 
     private static VirtualMinions.Behaviour endingOverSeconds(long first, int spread, TaskEnd end) {
@@ -190,12 +166,7 @@
         mHarness.mMinions.mCheckpoint = task -> task + "c".repeat(checkpointLength);
         mHarness.mMinions.mBehaviour = endingOverSeconds(2_000, 1_000, TaskEnd.STOPPED);
         Shard first = startWithLargeMinions();
-        mHarness.submit(
-                first,
-                1,
-                new StepSpec(
-                        tasks, 10, 1, 0, 100, List.of(), true, false, false, "", "", 0, false,
-                        false, "", 0, false, -1));
+        mHarness.submit(first, 1, ShardHarness.smallTasks(tasks, true));
         mHarness.run(1_500, first);
         mHarness.mMinions.mBehaviour = endingOverSeconds(60_000, 1_000, TaskEnd.DONE);
         runUntilAcknowledged(first, tasks);
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/LargeMinionListTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/LargeMinionListTest.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import org.endivetray.job.JobAnswer;
 import org.endivetray.job.MinionInfo;
-import org.endivetray.job.StepSpec;
 import org.endivetray.job.TaskEnd;
 import org.junit.jupiter.api.Test;
 
@@ -21,12 +20,6 @@
 
     private final ShardHarness mHarness = new ShardHarness();
 
-    private static StepSpec smallTasks(int count) {
-        return new StepSpec(
-                count, 10, 1, 0, 100, List.of(), false, false, false, "", "", 0, false, false, "",
-                0, false, -1);
-    }
-
     private void addMinion(String id) {
         mHarness.mRegistered.add(mHarness.mMinions.add(id, ShardHarness.POOL, 300_000));
     }
@@ -50,7 +43,7 @@
         Shard shard = mHarness.takeOver();
         mHarness.run(300, shard);
         for (int job = 1; job <= JOBS; job++) {
-            mHarness.submit(shard, job, smallTasks(TASKS));
+            mHarness.submit(shard, job, ShardHarness.smallTasks(TASKS, false));
         }
         mHarness.run(10_000, shard);
         assertThat(startsOn("m1") + startsOn("m2")).isEqualTo(JOBS * TASKS);
@@ -59,7 +52,7 @@
         mHarness.run(2_500, shard);
         addMinion("m3");
         mHarness.run(1_000, shard);
-        mHarness.submit(shard, JOBS + 1, smallTasks(10));
+        mHarness.submit(shard, JOBS + 1, ShardHarness.smallTasks(10, false));
         mHarness.run(1_000, shard);
         assertThat(startsOn("m3")).isEqualTo(10);
     }
@@ -72,7 +65,8 @@
         mHarness.mRegistered.set(0, info.withLabels(List.of("a", "r1", "x".repeat(VALUE_BYTES))));
         Shard shard = mHarness.takeOver();
         mHarness.run(300, shard);
-        assertThat(mHarness.submit(shard, 1, smallTasks(2)).isComplete()).isFalse();
+        assertThat(mHarness.submit(shard, 1, ShardHarness.smallTasks(2, false)).isComplete())
+                .isFalse();
         mHarness.run(300, shard);
         assertThat(startsOn("m1")).isEqualTo(2);
         assertThat(shard.state(ShardHarness.id(1)).result().verdict())
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/ShardHarness.java
@@ -121,16 +121,37 @@
      * @param after numbers of the steps that must be done first, not null
      */
     static StepSpec step(int count, Integer... after) {
+        return step(count, 1_000, 100, 500, List.of(after), false, false);
+    }
+
+    /** Returns a step of tasks that take a hundredth of a core each. */
+    static StepSpec smallTasks(int count, boolean checkpoints) {
+        return step(count, 10, 1, 100, List.of(), checkpoints, false);
+    }
+
+    /** Returns a step of two tasks with a declared duration. */
+    static StepSpec twoTasks(long estimateMillis, boolean sameRack) {
+        return step(2, 1_000, 100, estimateMillis, List.of(), false, sameRack);
+    }
+
+    private static StepSpec step(
+            int count,
+            int cpuMillis,
+            int memoryMb,
+            long estimateMillis,
+            List<Integer> after,
+            boolean checkpoints,
+            boolean sameRack) {
         return new StepSpec(
                 count,
-                1_000,
-                100,
+                cpuMillis,
+                memoryMb,
                 0,
-                500,
-                List.of(after),
-                false,
-                false,
+                estimateMillis,
+                after,
+                checkpoints,
                 false,
+                sameRack,
                 "",
                 "",
                 0,
--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualMinions.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/VirtualMinions.java
@@ -38,6 +38,7 @@
      */
     long mListedBeforeLateOrdersMillis;
 
+    final List<VirtualEnd> mAllEnds = new ArrayList<>();
     final List<Start> mStarts = new ArrayList<>();
 
     /** The orders of the starts that were carried out. */
@@ -48,8 +49,6 @@
     /** Whether minions list no run that is being stopped. */
     boolean mHidesStoppingRuns;
 
-    final List<VirtualEnd> mAllEnds = new ArrayList<>();
-
     /** Returns the checkpoint that a run of a task saves at once, empty for none. */
     UnaryOperator<String> mCheckpoint = task -> "";
 
--- a/model/src/main/java/org/endivetray/job/MinionInfo.java
+++ b/model/src/main/java/org/endivetray/job/MinionInfo.java
@@ -37,24 +37,17 @@
 
     /** Returns a copy with another id. */
     public MinionInfo withId(String other) {
-        return new MinionInfo(
-                other,
-                pool,
-                host,
-                port,
-                zone,
-                draining,
-                cpuMillis,
-                memoryMb,
-                gpus,
-                labels,
-                bornMillis);
+        return with(other, labels);
     }
 
     /** Returns a copy with other labels. */
     public MinionInfo withLabels(List<String> others) {
+        return with(id, others);
+    }
+
+    private MinionInfo with(String newId, List<String> newLabels) {
         return new MinionInfo(
-                id,
+                newId,
                 pool,
                 host,
                 port,
@@ -63,7 +56,7 @@
                 cpuMillis,
                 memoryMb,
                 gpus,
-                others,
+                newLabels,
                 bornMillis);
     }
 
