--- a/daemon/src/test/java/org/endivetray/daemon/job/shard/LargeJobTest.java
+++ b/daemon/src/test/java/org/endivetray/daemon/job/shard/LargeJobTest.java
@@ -6,13 +6,18 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.endivetray.daemon.job.record.JobKeys;
+import org.endivetray.daemon.job.record.StoredJob;
+import org.endivetray.daemon.job.record.StoredProgress;
+import org.endivetray.daemon.job.record.StoredProgress.StoredTask;
 import org.endivetray.job.JobAnswer;
 import org.endivetray.job.JobSpec;
 import org.endivetray.job.JobState;
 import org.endivetray.job.StepSpec;
 import org.endivetray.job.TaskEnd;
 import org.endivetray.platform.MinionOrders.StartOrder;
+import org.endivetray.platform.RecordCodec;
 import org.endivetray.platform.VersionedValue;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -183,6 +188,51 @@
                 .isEmpty();
     }
 
+    /**
+     * Stores a job of which every second task is done, as an earlier version did, in one record.
+     */
+    private void storeInOneRecord(int tasks) {
+        String id = ShardHarness.id(1);
+        Map<String, StoredTask> stored = new HashMap<>();
+        for (int i = 0; i < tasks; i++) {
+            String checkpoint = id + ".0.0." + i + "c".repeat(100);
+            stored.put(
+                    "0.0." + i,
+                    StoredTask.of(i % 2 == 0, Set.of(), 1, i % 2 == 0 ? "" : checkpoint));
+        }
+        JobSpec spec = ShardHarness.job(ShardHarness.smallTasks(tasks, true));
+        mHarness.mStore.put(
+                JobKeys.jobs(ShardHarness.POOL) + id,
+                new StoredJob(ShardHarness.POOL, ShardHarness.QUEUE, spec, 0).encode());
+        mHarness.mStore.put(
+                JobKeys.progress(ShardHarness.POOL) + id,
+                RecordCodec.encode(new StoredProgress(JobState.RUNNING, 0, stored, 0, List.of())));
+    }
+
+    /** Guards against progress that is lost when a record of an earlier version is divided. */
+    @Test
+    void theProgressThatAnEarlierVersionHasStoredInOneRecordIsKept() {
+        int tasks = 4_000;
+        storeInOneRecord(tasks);
+        mHarness.mMinions.mBehaviour = endingOverSeconds(1_000, 3_000, TaskEnd.DONE);
+        Shard first = startWithLargeMinions();
+        runUntilAcknowledged(first, tasks / 4);
+        first.markLost("killed");
+        mHarness.mMinions.all().forEach(VirtualMinions.Minion::restart);
+        Shard second = mHarness.takeOver();
+        for (long millis = 0; millis < MAX_MILLIS && !isCompleted(second); millis += 100) {
+            mHarness.run(100, second);
+        }
+        assertThat(isCompleted(second)).isTrue();
+        assertThat(startedAfterDone()).isEmpty();
+        assertThat(mHarness.mMinions.mStartOrders.stream().map(StartOrder::task).distinct())
+                .hasSize(tasks / 2);
+        assertThat(
+                        mHarness.mMinions.mStartOrders.stream()
+                                .filter(order -> !order.checkpoint().startsWith(order.task())))
+                .isEmpty();
+    }
+
     /** Guards against a checkpoint that no record can hold, which holds up all ends of a pool. */
     @ParameterizedTest
     @ValueSource(strings = {"\ud800", "\udc00\ud800", "\u0000\"\\\uffff", "\ud83d\ude00"})
